--- /dev/null
+++ b/fescuechute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder docstring, replaced with the package."""
--- /dev/null
+++ b/fescuechute/errors/__init__.py
@@ -0,0 +1,34 @@
+"""Exception tree and refusal reasons shared by all packages."""
+
+from fescuechute.errors._errors import (
+    FescuechuteError,
+    FrameTooLargeError,
+    FrameTruncatedError,
+    NoteError,
+    PlatformError,
+    Problem,
+    ProtocolVersionError,
+    RefusedError,
+    SettingsError,
+    UnknownMessageError,
+    WireError,
+)
+from fescuechute.errors._reasons import Ran, Reason, Refusal, refusal
+
+__all__ = [
+    "FescuechuteError",
+    "FrameTooLargeError",
+    "FrameTruncatedError",
+    "NoteError",
+    "PlatformError",
+    "Problem",
+    "ProtocolVersionError",
+    "Ran",
+    "Reason",
+    "Refusal",
+    "RefusedError",
+    "SettingsError",
+    "UnknownMessageError",
+    "WireError",
+    "refusal",
+]
--- /dev/null
+++ b/fescuechute/wire/__init__.py
@@ -0,0 +1,61 @@
+"""Messages between the system's processes and their msgpack frames.
+
+Example:
+  >>> from fescuechute.wire import FrameDecoder, Ping, encode
+  >>> FrameDecoder().feed(encode(Ping(sent_at=1.0)))
+  [Ping(sent_at=1.0)]
+"""
+
+from fescuechute.wire._frames import MAX_FRAME_BYTES, FrameDecoder, encode
+from fescuechute.wire._messages import (
+    PROTOCOL_VERSION,
+    Accepted,
+    Blob,
+    BlobRefused,
+    Call,
+    Cancel,
+    Crash,
+    Digest,
+    End,
+    Failed,
+    FetchBlob,
+    Generate,
+    Have,
+    Hello,
+    Message,
+    Piece,
+    Ping,
+    Pong,
+    PullRecords,
+    Records,
+    Refused,
+    Status,
+)
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PROTOCOL_VERSION",
+    "Accepted",
+    "Blob",
+    "BlobRefused",
+    "Call",
+    "Cancel",
+    "Crash",
+    "Digest",
+    "End",
+    "Failed",
+    "FetchBlob",
+    "FrameDecoder",
+    "Generate",
+    "Have",
+    "Hello",
+    "Message",
+    "Piece",
+    "Ping",
+    "Pong",
+    "PullRecords",
+    "Records",
+    "Refused",
+    "Status",
+    "encode",
+]
--- /dev/null
+++ b/tests/wire/test_frames.py
@@ -0,0 +1,69 @@
+"""Frames: each case guards against a peer that can crash or confuse a process with bytes."""
+
+import itertools
+import struct
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescuechute.errors import (
+    FrameTooLargeError,
+    FrameTruncatedError,
+    UnknownMessageError,
+    WireError,
+)
+from fescuechute.wire import MAX_FRAME_BYTES, Blob, FrameDecoder, Piece, Ping, encode
+
+PIECE = Piece(request_id="r1", attempt=2, seq=3, tokens=("a", "ñ"))
+
+
+def _frame(payload: bytes) -> bytes:
+    return struct.pack(">I", len(payload)) + payload
+
+
+@given(cuts=st.lists(st.integers(0, 200), max_size=6))
+def test_messages_survive_any_fragmentation(cuts):
+    """A message must not be lost or changed when TCP splits it anywhere."""
+    data = encode(PIECE) + encode(Ping(1.5)) + encode(Blob(b"d" * 32, b"x" * 100))
+    decoder = FrameDecoder()
+    bounds = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+    out = []
+    for begin, end in itertools.pairwise(bounds):
+        out += decoder.feed(data[begin:end])
+    assert out == [PIECE, Ping(1.5), Blob(b"d" * 32, b"x" * 100)]
+    decoder.close()
+
+
+@pytest.mark.parametrize(
+    ("data", "error"),
+    [
+        pytest.param(struct.pack(">I", MAX_FRAME_BYTES + 1), FrameTooLargeError, id="too_large"),
+        pytest.param(_frame(b"\xc1"), WireError, id="not_msgpack"),
+        pytest.param(_frame(msgpack.packb("text")), WireError, id="not_a_list"),
+        pytest.param(_frame(msgpack.packb([99, 1])), UnknownMessageError, id="unknown_type"),
+        pytest.param(_frame(msgpack.packb([1])), FrameTruncatedError, id="missing_field"),
+        pytest.param(_frame(msgpack.packb([1, "now"])), WireError, id="wrong_type"),
+        pytest.param(_frame(msgpack.packb([1, True])), WireError, id="bool_for_number"),
+    ],
+)
+def test_invalid_frame_raises_typed_error(data, error):
+    """Invalid bytes must end in a typed error that names a remedy, not in a crash."""
+    with pytest.raises(error) as caught:
+        FrameDecoder().feed(data)
+    assert caught.value.remedy
+
+
+def test_stream_that_ends_inside_a_frame_is_truncated():
+    """A cut connection must not look like a clean end."""
+    decoder = FrameDecoder()
+    assert decoder.feed(encode(PIECE)[:-1]) == []
+    with pytest.raises(FrameTruncatedError):
+        decoder.close()
+
+
+def test_oversized_message_is_refused_at_the_sender():
+    """A sender must not put a frame on the link that every receiver drops."""
+    with pytest.raises(FrameTooLargeError):
+        encode(Blob(b"d" * 32, bytes(MAX_FRAME_BYTES)))
