--- /dev/null
+++ b/fescuechute/net/_loop.py
@@ -0,0 +1,74 @@
+"""The process loop: one circuits manager with an epoll poller and a tick."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+
+from circuits import BaseComponent, Event, Timer, handler
+from circuits.core.pollers import EPoll
+
+from fescuechute.net._clock import Clock, SystemClock
+from fescuechute.net._sockets import SocketOwner
+
+
+class tick(Event):  # noqa: N801 - circuits derives the handler name from the class name.
+    """Fired once per tick interval."""
+
+
+class Loop(BaseComponent):
+    """Runs socket owners and calls the systems of a daemon once a tick.
+
+    SIGTERM and SIGINT call `on_stop` once; the daemon then drains and calls `close`.
+    """
+
+    channel = "loop"
+
+    def __init__(
+        self,
+        on_tick: Callable[[float], None],
+        on_stop: Callable[[], None],
+        interval_s: float,
+        clock: Clock | None = None,
+    ):
+        super().__init__()
+        self.clock = clock or SystemClock()
+        self.poller = EPoll().register(self)
+        self._on_tick = on_tick
+        self._on_stop = on_stop
+        self._owners: list[SocketOwner] = []
+        self._signalled = False
+        self._timer = Timer(interval_s, tick(), self.channel, persist=True).register(self)
+
+    def add(self, owner: SocketOwner) -> None:
+        """Registers a component that owns sockets."""
+        owner.use_poller(self.poller)
+        owner.register(self)
+        self._owners.append(owner)
+
+    def run_until_closed(self) -> None:
+        """Runs in the calling thread until `close`."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        # A caller that goes away must not end the process.
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        self.run()
+
+    def close(self) -> None:
+        """Closes all sockets and ends `run_until_closed`."""
+        for owner in self._owners:
+            owner.close_connections()
+        self.stop()
+
+    def _on_signal(self, _signum: int, _frame: object) -> None:
+        # Only a flag: a signal handler may interrupt any system half-way.
+        self._signalled = True
+
+    @handler("tick")
+    def _on_tick_event(self) -> None:
+        if self._signalled:
+            self._signalled = False
+            self._on_stop()
+        for owner in self._owners:
+            owner.report_failures()
+        self._on_tick(self.clock.now())
--- /dev/null
+++ b/tests/net/test_links.py
@@ -0,0 +1,144 @@
+"""Links: guards against lost messages, silent connections and peers that send garbage."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from fescuechute.net import LinkHub, Loop, SystemClock
+from fescuechute.wire import PROTOCOL_VERSION, Cancel, Hello, Piece, encode
+
+DEADLINE_S = 10.0
+
+
+def wait_for(condition, what: str) -> None:
+    """Waits until the condition holds, at most DEADLINE_S."""
+    deadline = time.monotonic() + DEADLINE_S
+    while not condition():
+        assert time.monotonic() < deadline, f"timed out waiting for {what}"
+        time.sleep(0.005)
+
+
+class Peer:
+    """A hub on a loop of its own that records what its handler sees."""
+
+    def __init__(self, name: str, version: int = PROTOCOL_VERSION):
+        self.up: list[str] = []
+        self.down: list[tuple[str, str]] = []
+        self.messages: list[object] = []
+        self.counters: list[str] = []
+        clock = SystemClock()
+        hello = Hello(version, name, "agent", "r1", "d1", f"boot-{name}")
+        self.hub = LinkHub(hello, self, clock)
+        self.loop = Loop(self.hub.tick, lambda: None, 0.02, clock)
+        self.loop.add(self.hub)
+        self.port = self.hub.listen("127.0.0.1", 0)
+        self.thread = threading.Thread(target=self.loop.run, daemon=True)
+
+    def link_up(self, peer_id, hello):
+        self.up.append(peer_id)
+
+    def link_down(self, peer_id, reason):
+        self.down.append((peer_id, reason))
+
+    def message(self, peer_id, msg):
+        self.messages.append(msg)
+
+    def count(self, name):
+        self.counters.append(name)
+
+    def close(self):
+        self.loop.close()
+        self.thread.join(DEADLINE_S)
+
+
+@pytest.fixture
+def peers():
+    made: list[Peer] = []
+
+    def make(name, **kwargs) -> Peer:
+        peer = Peer(name, **kwargs)
+        made.append(peer)
+        return peer
+
+    yield make
+    for peer in made:
+        peer.close()
+
+
+def start(*started: Peer) -> None:
+    for peer in started:
+        peer.thread.start()
+
+
+def test_messages_arrive_in_order_on_both_directions(peers):
+    """Order within a link is what stream assembly relies on."""
+    a, b = peers("a"), peers("b")
+    a.hub.connect("b", "127.0.0.1", b.port)
+    start(a, b)
+    wait_for(lambda: a.up == ["b"] and b.up == ["a"], "handshake")
+    sent = [Piece("r", 1, i, ("x" * 1000,)) for i in range(2000)]
+    for msg in sent:
+        a.hub.send("b", msg)
+    b.hub.send("a", Cancel("r", 1))
+    wait_for(lambda: len(b.messages) == 2000 and a.messages, "all messages")
+    assert b.messages == sent
+    assert a.messages == [Cancel("r", 1)]
+
+
+def test_silent_connection_is_dropped_within_three_seconds_and_replaced(peers):
+    """A middlebox that lost the connection must not stop the work for longer than 3 s."""
+    a = peers("a")
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        a.hub.connect("b", "127.0.0.1", server.getsockname()[1])
+        start(a)
+        conn, _ = server.accept()
+        hello = Hello(PROTOCOL_VERSION, "b", "agent", "r1", "d1", "boot")
+        conn.sendall(encode(hello))
+        wait_for(lambda: a.up == ["b"], "handshake")
+        silent_since = time.monotonic()
+        second, _ = server.accept()
+        assert time.monotonic() - silent_since < 3.0
+        wait_for(lambda: a.down, "link_down")
+        assert a.down[0] == ("b", "silent")
+        conn.close()
+        second.close()
+
+
+def test_unknown_protocol_version_is_refused(peers):
+    """Two releases that do not understand each other must not exchange requests."""
+    a, b = peers("a"), peers("b", version=PROTOCOL_VERSION + 1)
+    b.hub.connect("a", "127.0.0.1", a.port)
+    start(a, b)
+    wait_for(lambda: "links.version" in a.counters, "version counter")
+    assert a.up == []
+
+
+@pytest.mark.parametrize(
+    ("data", "counter"),
+    [
+        pytest.param(b"\xff\xff\xff\xff", "links.invalid.FrameTooLargeError", id="too_large"),
+        pytest.param(b"GET / HTTP/1.1\r\n", "links.invalid.FrameTooLargeError", id="http"),
+        pytest.param(encode(Cancel("r", 1)), "links.invalid.WireError", id="no_hello"),
+    ],
+)
+def test_invalid_bytes_close_the_link_with_a_counter(peers, data, counter):
+    """Bytes from a foreign client must neither stop the process nor go unseen."""
+    a = peers("a")
+    start(a)
+    with socket.create_connection(("127.0.0.1", a.port)) as conn:
+        conn.sendall(data)
+        wait_for(lambda: counter in a.counters, counter)
+
+
+def test_restarted_peer_replaces_its_old_link(peers):
+    """A peer that comes back must not be shut out by its own dead connection."""
+    a, first, second = peers("a"), peers("b"), peers("b")
+    first.hub.connect("a", "127.0.0.1", a.port)
+    start(a, first)
+    wait_for(lambda: a.up == ["b"], "first link")
+    second.hub.connect("a", "127.0.0.1", a.port)
+    start(second)
+    wait_for(lambda: a.up.count("b") >= 2, "second link")
+    assert ("b", "replaced by a newer connection") in a.down
