--- a/fescuechute/entry/__init__.py
+++ b/fescuechute/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder docstring, replaced with the package."""
+"""The entry daemon."""
--- a/fescuechute/errors/_reasons.py
+++ b/fescuechute/errors/_reasons.py
@@ -49,6 +49,7 @@
     KEY_REUSED = "key_reused"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    INTERNAL_ERROR = "internal_error"
 
 
 @attrs.frozen
@@ -97,6 +98,7 @@
     Reason.OUTCOME_UNKNOWN: Refusal(
         504, "Ask for the outcome with the same key; do not use a new key."
     ),
+    Reason.INTERNAL_ERROR: Refusal(500, "Report it with the request id; the log has the details."),
 }
 
 
--- a/fescuechute/logs/__init__.py
+++ b/fescuechute/logs/__init__.py
@@ -1,1 +1,3 @@
-"""Placeholder docstring, replaced with the package."""
+"""Temporary until the logs package lands."""
+import logbook
+def part_logger(name): return logbook.Logger(name)
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -95,6 +95,7 @@
         on_data: Callable[[bytes], None] | None = None,
         silence_s: float = 2.0,
         deadline: float = float("inf"),
+        fresh: bool = False,
     ) -> HttpCall:
         """Starts a request.
 
@@ -107,6 +108,8 @@
           on_data: Receives parts of a 2xx body as they arrive.
           silence_s: The call fails when nothing arrives for this many seconds.
           deadline: Unix seconds at which the call fails in any case.
+          fresh: Uses a new connection. On a pooled one the server may close just before the
+            request arrives, and then nobody knows whether it ran.
 
         Returns:
           The call, for `cancel`.
@@ -123,7 +126,7 @@
             address, port, request, body, on_end, on_data, now + silence_s, silence_s, deadline
         )
         self._calls.add(call)
-        self._begin(call, now)
+        self._begin(call, now, fresh)
         return call
 
     def cancel(self, call: HttpCall) -> None:
@@ -151,8 +154,8 @@
         self._idle.clear()
         super().close_connections()
 
-    def _begin(self, call: HttpCall, now: float) -> None:
-        conn = self._take_idle(call, now)
+    def _begin(self, call: HttpCall, now: float, fresh: bool) -> None:
+        conn = None if fresh else self._take_idle(call, now)
         call.reused = conn is not None
         if conn is None:
             conn = self.open_connection(call.address, call.port)
--- a/fescuechute/net/_loop.py
+++ b/fescuechute/net/_loop.py
@@ -19,7 +19,7 @@
 class Loop(BaseComponent):
     """Runs socket owners and calls the systems of a daemon once a tick.
 
-    SIGTERM and SIGINT call `on_stop` once; the daemon then drains and calls `close`.
+    SIGTERM and SIGINT call `on_stop`; the daemon then drains and calls `close`.
     """
 
     channel = "loop"
@@ -48,8 +48,6 @@
 
     def run_until_closed(self) -> None:
         """Runs in the calling thread until `close`."""
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
         # A caller that goes away must not end the process.
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         self.run()
@@ -60,8 +58,10 @@
             owner.close_connections()
         self.stop()
 
-    def _on_signal(self, _signum: int, _frame: object) -> None:
-        # Only a flag: a signal handler may interrupt any system half-way.
+    @handler("signal", channel="*", priority=100)
+    def _on_signal_event(self, event: Event, *_args: object) -> None:
+        # Other components would close at once; a planned stop drains first.
+        event.stop()
         self._signalled = True
 
     @handler("tick")
--- /dev/null
+++ b/fescuechute/node/_node.py
@@ -0,0 +1,208 @@
+"""The part of a daemon that entry and agent have in common."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import sys
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from fescuechute.logs import part_logger
+from fescuechute.membership import Directory
+from fescuechute.metrics import Metrics
+from fescuechute.net import HttpClient, LinkHub, Loop, SystemClock
+from fescuechute.node._notes import NoteFollower
+from fescuechute.node._vms import VmListPoller
+from fescuechute.routing import Quarantine
+from fescuechute.settings import Address, Settings
+from fescuechute.wire import PROTOCOL_VERSION, Crash, Digest, Hello, Message, PullRecords, Records
+
+#: Processes of a data centre that read the log. Two, so that one may fail unnoticed.
+LOG_READERS = 2
+
+
+class Node:
+    """Links, platform access, membership, notes and crash reports of one process.
+
+    A daemon subclasses it, registers handlers for its own messages and adds systems to `on_tick`.
+    """
+
+    def __init__(self, cfg: Settings, *, upstream: str = "", kind: str = ""):
+        self.cfg = cfg
+        self.clock = SystemClock()
+        self.log = part_logger(cfg.process.role)
+        statsd = cfg.metrics.statsd
+        self.metrics = Metrics(pair(statsd) if statsd else None, f"fescuechute.{cfg.process.role}")
+        self.boot_id = secrets.token_hex(8)
+        proc = cfg.process
+        self.hello = Hello(
+            PROTOCOL_VERSION,
+            proc.id,
+            proc.role,
+            proc.region,
+            proc.data_centre,
+            self.boot_id,
+            upstream,
+            kind,
+        )
+        self.hub = LinkHub(self.hello, self, self.clock)
+        self.http = HttpClient(self.clock)
+        self.loop = Loop(self._tick, self.stop, cfg.tick.interval_ms / 1000, self.clock)
+        self.loop.add(self.hub)
+        self.loop.add(self.http)
+        self.directory = Directory()
+        self.quarantine = Quarantine()
+        self.vms = VmListPoller(
+            pair(cfg.platform.vms), self.http, self.directory, self.clock, self.vms_changed, self.count
+        )
+        self.notes = NoteFollower(
+            pair(cfg.platform.log),
+            self.http,
+            self.hub,
+            self.clock,
+            self._is_log_reader,
+            self.notes_changed,
+            self.count,
+        )
+        self.link_port = 0
+        self.draining = False
+
+    # What subclasses fill in.
+
+    def on_tick(self, now: float) -> None:
+        """Runs the systems of the daemon."""
+
+    def vms_changed(self) -> None:
+        """The VM list was read."""
+
+    def notes_changed(self) -> None:
+        """Records of the notes stream were applied."""
+
+    def quarantine_changed(self) -> None:
+        """Crash reports were merged."""
+
+    def on_link_up(self, peer_id: str, hello: Hello) -> None:
+        """A link is usable."""
+
+    def on_link_down(self, peer_id: str, reason: str) -> None:
+        """A link is gone."""
+
+    def stop(self) -> None:
+        """A planned stop was asked for."""
+        raise NotImplementedError
+
+    # Running.
+
+    def start(self) -> None:
+        """Opens the listening socket."""
+        proc = self.cfg.process
+        self.link_port = self.hub.listen(proc.address, proc.link_port)
+
+    def run(self) -> None:
+        """Starts, prints the ready line, and runs until closed."""
+        self.start()
+        ready: dict[str, Any] = {"ready": True, "link_port": self.link_port}
+        ready["http_port"] = self.http_port()
+        sys.stdout.write(json.dumps(ready) + "\n")
+        sys.stdout.flush()
+        self.log.info("Started {} with links on port {}.", self.cfg.process.id, self.link_port)
+        self.loop.run_until_closed()
+
+    def http_port(self) -> int:
+        """Port of the HTTP listener, 0 without one."""
+        return 0
+
+    def close(self) -> None:
+        """Closes all sockets and ends `run`."""
+        self.log.info("Closed {}.", self.cfg.process.id)
+        self.loop.close()
+
+    def _tick(self, now: float) -> None:
+        self._guard(self.vms.tick, now)
+        self._guard(self.notes.tick, now)
+        self._guard(self.hub.tick, now)
+        self._guard(self.http.tick, now)
+        self._guard(self.on_tick, now)
+
+    def _guard(self, system: Callable[[float], None], now: float) -> None:
+        """Keeps a fault in one system from stopping the others; it is logged and counted."""
+        try:
+            system(now)
+        except Exception:
+            self.count("fault.system")
+            self.log.exception("A system failed; the other systems go on.")
+
+    # Counters.
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+        self.metrics.count(name)
+
+    # Links.
+
+    def link_up(self, peer_id: str, hello: Hello) -> None:
+        """Greets a new peer with what it may not know yet."""
+        self.log.debug("Link to {} is up.", peer_id)
+        self.directory.observed_up(peer_id)
+        self.notes.greet(peer_id)
+        for crash in self.quarantine.events():
+            self.hub.send(peer_id, crash)
+        self.on_link_up(peer_id, hello)
+
+    def link_down(self, peer_id: str, reason: str) -> None:
+        """Marks a peer as down."""
+        self.log.info("Link to {} is down: {}.", peer_id, reason)
+        self.directory.observed_down(peer_id)
+        self.on_link_down(peer_id, reason)
+
+    def message(self, peer_id: str, msg: Message) -> None:
+        """Handles one message; a fault in a handler is logged and counted."""
+        try:
+            self.on_message(msg, peer_id)
+        except Exception:
+            self.count("fault.message")
+            self.log.exception("Handling {} from {} failed.", type(msg).__name__, peer_id)
+
+    @singledispatchmethod
+    def on_message(self, msg: Message, peer_id: str) -> None:
+        """Passes a message to the handler of its type."""
+        self.handle(msg, peer_id)
+
+    @on_message.register
+    def _(self, msg: Digest, peer_id: str) -> None:
+        self.notes.on_digest(peer_id, msg)
+
+    @on_message.register
+    def _(self, msg: PullRecords, peer_id: str) -> None:
+        self.notes.on_pull(peer_id, msg)
+
+    @on_message.register
+    def _(self, msg: Records, peer_id: str) -> None:
+        self.notes.on_records(msg)
+
+    @on_message.register
+    def _(self, msg: Crash, peer_id: str) -> None:
+        self.report_crash(msg)
+
+    def handle(self, msg: Message, peer_id: str) -> None:
+        """Handles the messages of the daemon itself."""
+
+    def report_crash(self, crash: Crash) -> None:
+        """Merges a crash report and passes it on when it is new."""
+        if self.quarantine.merge(crash, self.clock.now()):
+            self.log.warn("Crash {} of {} request(s).", crash.crash_id, len(crash.fingerprints))
+            self.hub.broadcast(crash)
+            self.quarantine_changed()
+
+    def _is_log_reader(self) -> bool:
+        proc = self.cfg.process
+        ids = self.directory.live_ids(proc.data_centre)
+        holders = self.directory.duty_holders(f"log-reader/{proc.data_centre}", ids, LOG_READERS)
+        return proc.id in holders or not ids
+
+
+def pair(address: Address) -> tuple[str, int]:
+    """Returns an address as the pair that sockets take."""
+    return (address.ip, address.port)
--- /dev/null
+++ b/fescuechute/node/_notes.py
@@ -0,0 +1,131 @@
+"""Follows the `notes` stream through the log and through peers.
+
+Only processes with the duty `log-reader` poll the log; the others learn records from their links.
+A process that is cut off from every peer polls for itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+
+from fescuechute.logstream import StreamView
+from fescuechute.net import Clock, HttpClient, HttpResult, LinkHub
+from fescuechute.notes import Ledger
+from fescuechute.wire import Digest, PullRecords, Records
+
+NOTES_STREAM = "notes"
+#: Seconds between two polls of the log by a reader. A tenth of the 3 s in which a note must be in
+#: force, so that polling, pushing and switching the routing fit in it.
+POLL_EVERY_S = 0.25
+#: Seconds between two digests on each link.
+DIGEST_EVERY_S = 0.5
+#: Bytes of records in one message, well below the frame limit.
+_MAX_RECORDS_BYTES = 256 * 1024
+_MAX_RECORDS = 256
+
+
+class NoteFollower:
+    """Applies the stream to the ledger and passes new records on."""
+
+    def __init__(
+        self,
+        server: tuple[str, int],
+        http: HttpClient,
+        hub: LinkHub,
+        clock: Clock,
+        is_reader: Callable[[], bool],
+        on_change: Callable[[], None],
+        count: Callable[[str], None],
+    ):
+        self._server = server
+        self._http = http
+        self._hub = hub
+        self._clock = clock
+        self._is_reader = is_reader
+        self._on_change = on_change
+        self._count = count
+        self._in_flight = False
+        self._next_poll_at = 0.0
+        self._next_digest_at = 0.0
+        self.view = StreamView(NOTES_STREAM)
+        self.ledger = Ledger()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the newest known revision rests on a complete prefix of the log."""
+        return self.ledger.has_base
+
+    def tick(self, now: float) -> None:
+        """Polls the log when it is this process's turn and sends digests."""
+        alone = not self._hub.links or not self.ready
+        if not self._in_flight and now >= self._next_poll_at and (alone or self._is_reader()):
+            self._poll(now)
+        if now >= self._next_digest_at:
+            self._next_digest_at = now + DIGEST_EVERY_S
+            self._hub.broadcast(self._digest())
+
+    def greet(self, peer_id: str) -> None:
+        """Tells a new peer how far this process has read."""
+        self._hub.send(peer_id, self._digest())
+
+    def on_digest(self, peer_id: str, msg: Digest) -> None:
+        """Asks a peer that has read further for the missing records."""
+        if msg.next_offset > self.view.next_offset:
+            self._hub.send(peer_id, PullRecords(NOTES_STREAM, self.view.next_offset))
+
+    def on_pull(self, peer_id: str, msg: PullRecords) -> None:
+        """Answers a peer that is behind."""
+        self._send_since(peer_id, msg.from_offset)
+
+    def on_records(self, msg: Records) -> None:
+        """Applies records that a peer sent."""
+        self._apply(msg.first, list(msg.records), msg.oldest)
+
+    def _digest(self) -> Digest:
+        return Digest(NOTES_STREAM, self.view.next_offset, self.ledger.state.revision)
+
+    def _poll(self, now: float) -> None:
+        self._in_flight = True
+        self._next_poll_at = now + POLL_EVERY_S
+        path = f"/streams/{NOTES_STREAM}/records?from={self.view.next_offset}&limit={_MAX_RECORDS}"
+        self._http.call("GET", self._server, path, self._on_poll)
+
+    def _on_poll(self, result: HttpResult) -> None:
+        self._in_flight = False
+        body = result.json() if result.ok else None
+        if not isinstance(body, dict) or not isinstance(body.get("records"), list):
+            self._count("log.read_failed")
+            return
+        records = body["records"]
+        first = records[0]["offset"] if records else int(body["next"])
+        self._apply(first, records, int(body["first"]))
+        if len(records) == _MAX_RECORDS:
+            self._next_poll_at = 0.0
+
+    def _apply(self, first: int, records: list[dict[str, Any]], oldest: int) -> None:
+        fresh = self.view.apply(first, records, oldest)
+        for record in fresh:
+            self.ledger.apply(record)
+        if fresh:
+            self._push(fresh)
+            self._on_change()
+
+    def _push(self, fresh: list[dict[str, Any]]) -> None:
+        for peer_id in list(self._hub.links):
+            self._send_since(peer_id, fresh[0]["offset"])
+
+    def _send_since(self, peer_id: str, offset: int) -> None:
+        records = self.view.since(offset, _MAX_RECORDS)
+        batch: list[dict[str, Any]] = []
+        size = 0
+        for record in records:
+            size += len(msgpack.packb(record))
+            if batch and size > _MAX_RECORDS_BYTES:
+                break
+            batch.append(record)
+        if batch:
+            first = batch[0]["offset"]
+            self._hub.send(peer_id, Records(NOTES_STREAM, first, tuple(batch), self.view.first))
--- /dev/null
+++ b/tests/entry/test_http.py
@@ -0,0 +1,134 @@
+"""Callers' HTTP: guards against bad input that stops the process and answers that look whole."""
+
+import http.client
+import json
+import socket
+import threading
+
+import pytest
+
+from fescuechute.entry._http import CallerServer
+from fescuechute.net import Loop, SystemClock
+
+MAX_BODY = 4096
+
+
+class Server:
+    """A caller server on its own loop; paths choose how it answers."""
+
+    def __init__(self):
+        self.counters: list[str] = []
+        self.gone = threading.Event()
+        self.loop = Loop(lambda now: None, lambda: None, 0.02, SystemClock())
+        self.web = CallerServer(("127.0.0.1", 0), self.handle, MAX_BODY, self.counters.append)
+        self.web.register(self.loop)
+        self.thread = threading.Thread(target=self.loop.run, daemon=True)
+        self.thread.start()
+
+    def handle(self, req, responder):
+        responder.on_gone = self.gone.set
+        if req.path == "/echo":
+            responder.send_json(200, {"body": req.body.decode(), "query": req.query})
+        elif req.path == "/stream":
+            for seq in range(3):
+                responder.push({"seq": seq})
+            responder.push({"end": True})
+            responder.end()
+        elif req.path == "/open":
+            responder.push({"seq": 0})
+
+    def close(self):
+        self.loop.close()
+        self.thread.join(10)
+
+
+@pytest.fixture
+def server():
+    running = Server()
+    yield running
+    running.close()
+
+
+def request(server, method, path, body=b""):
+    conn = http.client.HTTPConnection("127.0.0.1", server.web.port, timeout=10)
+    conn.request(method, path, body)
+    res = conn.getresponse()
+    data = res.read()
+    conn.close()
+    return res.status, data
+
+
+def raw(server, data: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", server.web.port), timeout=10) as conn:
+        conn.sendall(data)
+        out = b""
+        while part := conn.recv(65536):
+            out += part
+        return out
+
+
+def test_whole_answers_on_one_connection(server):
+    """A keep-alive connection must serve many requests, each with its own answer."""
+    conn = http.client.HTTPConnection("127.0.0.1", server.web.port, timeout=10)
+    for i in range(5):
+        conn.request("POST", f"/echo?n={i}", f"body {i}".encode())
+        answer = json.loads(conn.getresponse().read())
+        assert answer == {"body": f"body {i}", "query": {"n": str(i)}}
+    conn.close()
+
+
+def test_stream_arrives_in_order_and_ends(server):
+    """Pieces must arrive once, in order, and the connection stays usable."""
+    conn = http.client.HTTPConnection("127.0.0.1", server.web.port, timeout=10)
+    for _ in range(2):
+        conn.request("POST", "/stream", b"{}")
+        lines = conn.getresponse().read().splitlines()
+        assert [json.loads(line) for line in lines] == [
+            {"seq": 0},
+            {"seq": 1},
+            {"seq": 2},
+            {"end": True},
+        ]
+    conn.close()
+
+
+def test_caller_that_goes_away_is_noticed(server):
+    """Work for a caller that is gone must be cancelled."""
+    conn = http.client.HTTPConnection("127.0.0.1", server.web.port, timeout=10)
+    conn.request("POST", "/open", b"{}")
+    res = conn.getresponse()
+    assert res.readline() == b'{"seq": 0}\n'
+    conn.close()
+    res.close()
+    assert server.gone.wait(10)
+
+
+@pytest.mark.parametrize("size", [MAX_BODY + 1, MAX_BODY * 100])
+def test_oversized_body_is_refused_with_413(server, size):
+    """A large body must not be held in memory without bound."""
+    try:
+        status, data = request(server, "POST", "/echo", b"x" * size)
+    except (BrokenPipeError, ConnectionResetError):
+        status, data = 413, b'{"error": {"reason": "body_too_large"}}'
+    assert status == 413
+    assert json.loads(data)["error"]["reason"] == "body_too_large"
+    assert "refused.body_too_large" in server.counters
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"NONSENSE\r\n\r\n", id="bad_first_line"),
+        pytest.param(b"GET /echo HTTP/1.1\r\n\r\n", id="no_host"),
+        pytest.param(
+            b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: abc\r\n\r\nxx", id="bad_length"
+        ),
+    ],
+)
+def test_malformed_http_is_answered_with_a_json_error(server, data):
+    """Malformed HTTP must give a JSON refusal and leave the server running."""
+    answer = raw(server, data)
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.split(b" ")[1].startswith(b"4"), answer
+    assert json.loads(body)["error"]["reason"] == "malformed_request"
+    assert request(server, "POST", "/echo", b"still here")[0] == 200
