--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,38 @@
+"""Real processes for integration tests: stand-ins and daemons, ended even when a test fails."""
+
+from tests.harness._fleet import ROOT, Fleet, Process, ProcessError
+from tests.harness._http import HttpFailedError, http_bytes, http_json
+from tests.harness._settings import to_toml, write_settings
+from tests.harness._standins import (
+    start_agent,
+    start_engine,
+    start_entry,
+    start_log,
+    start_proxy,
+    start_service,
+    start_vms,
+    start_weights,
+)
+from tests.harness._wait import poll, wait_until
+
+__all__ = [
+    "ROOT",
+    "Fleet",
+    "HttpFailedError",
+    "Process",
+    "ProcessError",
+    "http_bytes",
+    "http_json",
+    "poll",
+    "start_agent",
+    "start_engine",
+    "start_entry",
+    "start_log",
+    "start_proxy",
+    "start_service",
+    "start_vms",
+    "start_weights",
+    "to_toml",
+    "wait_until",
+    "write_settings",
+]
