--- a/fescuechute/settings/__init__.py
+++ b/fescuechute/settings/__init__.py
@@ -1,1 +1,46 @@
-"""Placeholder docstring, replaced with the package."""
+"""Checked settings of a process.
+
+Example:
+  >>> from fescuechute.settings import load_settings
+  >>> load_settings("entry.toml").process.role  # doctest: +SKIP
+  'entry'
+"""
+
+from fescuechute.checks import Address
+from fescuechute.settings._load import load_settings, parse_settings
+from fescuechute.settings._tables import (
+    AgentSettings,
+    ClaimSettings,
+    EntrySettings,
+    ExchangeSettings,
+    LogSettings,
+    MetricsSettings,
+    PlatformSettings,
+    ProcessSettings,
+    RankSettings,
+    RetrySettings,
+    ServiceSettings,
+    Settings,
+    TickSettings,
+    WorkspaceSettings,
+)
+
+__all__ = [
+    "Address",
+    "AgentSettings",
+    "ClaimSettings",
+    "EntrySettings",
+    "ExchangeSettings",
+    "LogSettings",
+    "MetricsSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "RankSettings",
+    "RetrySettings",
+    "ServiceSettings",
+    "Settings",
+    "TickSettings",
+    "WorkspaceSettings",
+    "load_settings",
+    "parse_settings",
+]
