--- /dev/null
+++ b/fescuechute/entry/_calls.py
@@ -0,0 +1,131 @@
+"""Service calls. One that must not be repeated is sent only under a claim."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from blake3 import blake3
+
+from fescuechute.entry._http import Responder
+from fescuechute.entry._rows import CallRow, RequestRow
+from fescuechute.entry._validate import CallRequest
+from fescuechute.errors import Ran, Reason, RefusedError
+from fescuechute.routing import UpstreamRow, backoff_at
+from fescuechute.wire import Call, End, Failed, Message, Piece
+
+if TYPE_CHECKING:
+    from fescuechute.entry._daemon import EntryDaemon
+
+
+class CallSystem:
+    """Owner of calls at the dispatcher."""
+
+    def __init__(self, node: EntryDaemon):
+        self._node = node
+        node.dispatcher.route(CallRow, self._route)
+
+    def submit(self, request_id: str, req: CallRequest, responder: Responder) -> None:
+        """Takes a call in.
+
+        Raises:
+          RefusedError: If it cannot be served.
+        """
+        row = CallRow(
+            request_id,
+            self,
+            responder,
+            req.workspace,
+            req.rank,
+            req.deadline,
+            req.service,
+            1.0,
+            req=req,
+        )
+        if req.non_repeatable:
+            self._node.claims.submit(row)
+            return
+        responder.on_gone = lambda: self._node.dispatcher.finish(row)
+        self._node.retry_budget.first_attempt()
+        self._node.dispatcher.submit(row, self._node.clock.now())
+
+    def piece(self, row: RequestRow, msg: Piece) -> None:
+        """Services do not stream."""
+        self._node.count("messages.unexpected")
+
+    def ended(self, row: RequestRow, msg: End) -> None:
+        """Answers the caller with the service's result."""
+        assert isinstance(row, CallRow)
+        if blake3(msg.body.encode()).hexdigest() != msg.digest:
+            self.failed(row, Reason.INCOMPLETE_ANSWER, None)
+            return
+        self._node.dispatcher.finish(row)
+        status = int(json.loads(msg.body)["status"])
+        if row.claim_id:
+            self._node.claims.finished(row.request_id, status, msg.body)
+        else:
+            self.answer(row, status, msg.body)
+
+    def answer(self, row: CallRow, status: int, body: str) -> None:
+        """Sends a service's answer to the caller."""
+        content: dict[str, Any] = json.loads(body)
+        content.pop("status", None)
+        self._node.count(f"answered.{row.rank}")
+        row.responder.send_json(status, {"request_id": row.request_id, **content})
+
+    def failed(self, row: RequestRow, reason: Reason, msg: Failed | None) -> None:
+        """Tries a repeatable call again; under a claim the outcome is now unknown."""
+        assert isinstance(row, CallRow)
+        now = self._node.clock.now()
+        row.tries += 1
+        if row.claim_id:
+            self._node.dispatcher.forget(row)
+            self._node.claims.lost(row.request_id)
+            return
+        retry = reason is not Reason.DEADLINE_PASSED and row.responder.is_open
+        if retry and row.tries < self._node.cfg.retry.max_attempts:
+            if self._node.retry_budget.try_spend(now):
+                self._node.count(f"retried.{reason}")
+                row.not_before = backoff_at(row.tries, now, self._node.rng)
+                self._node.dispatcher.retry_at(row, row.not_before)
+                return
+            self._node.count(f"refused.{Reason.RETRY_BUDGET}")
+        found = msg.message if msg is not None else f"The call did not complete ({reason})."
+        self._refuse(row, RefusedError(reason, found, ran=Ran.UNKNOWN, retry_at=now + 1.0))
+
+    def gave_up(self, row: RequestRow, reason: Reason, retry_at: float | None) -> None:
+        """Refuses a call that no upstream took."""
+        assert isinstance(row, CallRow)
+        if row.claim_id:
+            self._node.dispatcher.finish(row)
+            self._node.claims.not_run(row.request_id, reason, retry_at)
+            return
+        ran = Ran.UNKNOWN if row.may_have_run else Ran.NOT_RUN
+        found = f"No upstream took the call in time ({reason})."
+        self._refuse(row, RefusedError(reason, found, ran=ran, retry_at=retry_at))
+
+    def _route(self, row: RequestRow, now: float) -> tuple[UpstreamRow, Message] | None:
+        assert isinstance(row, CallRow)
+        upstream = self._node.upstreams.choose(row.pool, now, excluded=row.excluded)
+        if upstream is None:
+            return None
+        row.attempt += 1
+        req = row.req
+        msg = Call(
+            row.request_id,
+            row.attempt,
+            req.service,
+            req.operation,
+            req.arguments,
+            req.workspace,
+            req.rank,
+            req.deadline,
+            req.key,
+            row.claim_id,
+            row.partition,
+        )
+        return upstream, msg
+
+    def _refuse(self, row: CallRow, exc: RefusedError) -> None:
+        self._node.dispatcher.finish(row)
+        self._node.refused(row.responder, exc, row.request_id)
--- /dev/null
+++ b/fescuechute/entry/_claims.py
@@ -0,0 +1,229 @@
+"""Carries out the commands of the claim table: log appends, reads, sends and answers."""
+
+from __future__ import annotations
+
+import json
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+from blake3 import blake3
+
+from fescuechute.claims import (
+    Answer,
+    AppendBatch,
+    ClaimSettings,
+    ClaimTable,
+    Command,
+    Key,
+    ReadPartition,
+    Refuse,
+    Scope,
+    ScopeState,
+    Send,
+    partition,
+)
+from fescuechute.entry._rows import CallRow
+from fescuechute.errors import Ran, Reason, RefusedError
+from fescuechute.net import HttpResult
+from fescuechute.node import pair
+
+if TYPE_CHECKING:
+    from fescuechute.entry._daemon import EntryDaemon
+
+#: Seconds without an answer from the log after which an append or read counts as failed.
+_SILENCE_S = 1.5
+
+
+class ClaimSystem:
+    """Calls that must not be repeated, from arrival to answer."""
+
+    def __init__(self, node: EntryDaemon):
+        cfg = node.cfg.claims
+        self._node = node
+        self._server = pair(node.cfg.platform.log)
+        settings = ClaimSettings(
+            partitions=cfg.partitions,
+            window_s=cfg.window_s,
+            skew_s=cfg.skew_s,
+            gather_s=cfg.gather_ms / 1000,
+        )
+        self._gather_s = settings.gather_s
+        self._partitions = cfg.partitions
+        self._table = ClaimTable(settings, f"{node.cfg.process.id}/{node.boot_id}")
+        self._rows: dict[str, CallRow] = {}
+        self._wake_at = 0.0
+
+    @property
+    def unsettled(self) -> int:
+        """Calls and records that a planned stop has to wait for."""
+        return len(self._rows) + self._table.unsettled
+
+    def submit(self, row: CallRow) -> None:
+        """Takes a call in.
+
+        Raises:
+          RefusedError: If its key is malformed.
+        """
+        now = self._node.clock.now()
+        scope = Scope(row.workspace, row.req.service, Key.parse(row.req.key))
+        row.partition = partition(scope, self._partitions)
+        self._rows[row.request_id] = row
+        row.responder.on_gone = lambda: self._caller_gone(row)
+        digest = content_digest(row.req.operation, row.req.arguments)
+        self._table.submit(
+            row.request_id, scope, digest, row.req.operation, now, row.deadline
+        )
+        self.run(now)
+
+    def finished(self, request_id: str, status: int, body: str) -> None:
+        """The service answered."""
+        self._table.finished(request_id, status, body)
+        self.run(self._node.clock.now())
+
+    def not_run(self, request_id: str, reason: Reason, retry_at: float | None) -> None:
+        """Every agent asked truthfully refused."""
+        self._table.not_run(request_id, reason, retry_at)
+        self.run(self._node.clock.now())
+
+    def lost(self, request_id: str) -> None:
+        """The call may have run and its agent cannot say so any more."""
+        self._table.lost(request_id)
+        self.run(self._node.clock.now())
+
+    def lookup(self, workspace: str, service: str, key_text: str) -> dict[str, Any]:
+        """Returns what is known of a key.
+
+        Raises:
+          RefusedError: If the key is malformed.
+        """
+        scope = Scope(workspace, service, Key.parse(key_text))
+        known = self._table.outcome(scope)
+        if known.state is ScopeState.FREE:
+            return {"state": "unused"}
+        if known.state is ScopeState.DONE:
+            return {"state": "done", "status": known.status, "answer": json.loads(known.body)}
+        return {"state": "unknown"}
+
+    def run(self, now: float) -> None:
+        """Runs the table and carries out its commands."""
+        for command in self._table.run(now):
+            self._carry_out(command)
+        if now >= self._wake_at and self._table.unsettled:
+            # Records are gathered for less than a tick, so the next cut must not wait for one.
+            self._wake_at = now + self._gather_s
+            self._node.loop.call_at(self._wake_at, lambda: self.run(self._node.clock.now()))
+
+    @singledispatchmethod
+    def _carry_out(self, command: Command) -> None:
+        raise TypeError(f"Unknown command {command!r}")
+
+    @_carry_out.register
+    def _(self, command: AppendBatch) -> None:
+        body = json.dumps({"records": list(command.records)}).encode()
+        self._node.count("log.appends")
+        self._node.http.call(
+            "POST",
+            self._server,
+            f"/streams/claims-{command.partition}/records",
+            lambda result: self._appended(command, result),
+            body=body,
+            silence_s=_SILENCE_S,
+        )
+
+    @_carry_out.register
+    def _(self, command: ReadPartition) -> None:
+        path = f"/streams/claims-{command.partition}/records"
+        query = f"?from={command.from_offset}&limit={command.limit}"
+        self._node.count("log.reads")
+        self._node.http.call(
+            "GET",
+            self._server,
+            path + query,
+            lambda result: self._read(command, result),
+            silence_s=_SILENCE_S,
+        )
+
+    @_carry_out.register
+    def _(self, command: Send) -> None:
+        row = self._rows.get(command.call_id)
+        now = self._node.clock.now()
+        if row is None:
+            self._table.not_run(command.call_id, Reason.CANCELLED)
+            return
+        row.claim_id = command.claim_id
+        self._table.sent(command.call_id)
+        try:
+            self._node.dispatcher.submit(row, now)
+        except RefusedError as exc:
+            self._table.not_run(command.call_id, exc.reason, exc.retry_at)
+            self._node.loop.call_at(now, lambda: self.run(now))
+
+    @_carry_out.register
+    def _(self, command: Answer) -> None:
+        row = self._rows.pop(command.call_id, None)
+        if row is not None:
+            self._node.calls.answer(row, command.status, command.body)
+
+    @_carry_out.register
+    def _(self, command: Refuse) -> None:
+        row = self._rows.pop(command.call_id, None)
+        if row is None:
+            return
+        if row.request_id in self._node.dispatcher.rows:
+            self._node.dispatcher.forget(row)
+        exc = RefusedError(
+            command.reason,
+            _FOUND.get(command.reason, f"The call was refused ({command.reason})."),
+            ran=command.ran,
+            retry_at=command.retry_at,
+        )
+        self._node.refused(row.responder, exc, row.request_id)
+
+    def _appended(self, command: AppendBatch, result: HttpResult) -> None:
+        now = self._node.clock.now()
+        body = result.json() if result.ok else None
+        if isinstance(body, dict) and isinstance(body.get("first"), int):
+            self._table.append_done(command.partition, command.batch_id, body["first"])
+        else:
+            # A complete refusal, or a request that never left, has no effect.
+            certain = (not result.error and result.status in (429, 503)) or not result.sent
+            self._node.count("log.append_refused" if certain else "log.append_unknown")
+            self._table.append_failed(command.partition, command.batch_id, certain)
+            if result.status != 429:
+                self._table.log_down(now)
+        self.run(now)
+
+    def _read(self, command: ReadPartition, result: HttpResult) -> None:
+        now = self._node.clock.now()
+        body = result.json() if result.ok else None
+        if isinstance(body, dict) and isinstance(body.get("records"), list):
+            self._table.records(command.partition, body["records"], body["first"], body["now"])
+        else:
+            self._node.count("log.read_failed")
+            self._table.read_failed(command.partition, now)
+            if result.status != 429:
+                self._table.log_down(now)
+        self.run(now)
+
+    def _caller_gone(self, row: CallRow) -> None:
+        self._rows.pop(row.request_id, None)
+        if row.request_id in self._node.dispatcher.rows and not row.agent_id:
+            self._node.dispatcher.finish(row)
+            if row.claim_id:
+                self._table.not_run(row.request_id, Reason.CANCELLED)
+        self._table.caller_gone(row.request_id)
+
+
+_FOUND = {
+    Reason.LOG_UNAVAILABLE: "The log cannot record the claim now, so the call was not sent.",
+    Reason.OUTCOME_UNKNOWN: "The call may have run and its outcome is not known yet.",
+    Reason.KEY_REUSED: "The key was used for a request with other content.",
+    Reason.KEY_EXPIRED: "The key is older than the window in which repeats are recognised.",
+    Reason.NOT_READY: "This entry has not read the claims that it needs yet.",
+    Reason.DEADLINE_PASSED: "The deadline passed before the call was sent.",
+}
+
+
+def content_digest(operation: str, arguments: str) -> str:
+    """Returns the digest by which a reused key with other content is recognised."""
+    return blake3(f"{operation}\0{arguments}".encode()).hexdigest(length=16)
--- a/fescuechute/entry/_http.py
+++ b/fescuechute/entry/_http.py
@@ -150,9 +150,9 @@
         return int(self._web.port)
 
     @property
-    def open_requests(self) -> int:
-        """Requests whose answer is not complete."""
-        return len(self._open)
+    def idle(self) -> bool:
+        """Whether every answer is complete and handed to the kernel."""
+        return not self._open and not any(self._web.server._buffers.values())
 
     def finish(self, sock: socket.socket) -> None:
         """Forgets a request whose answer was handed over."""
--- /dev/null
+++ b/fescuechute/entry/_models.py
@@ -0,0 +1,211 @@
+"""Model requests: routing by versions, whole answers, retries and resumption."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import blake3
+
+from fescuechute.entry._http import Responder
+from fescuechute.entry._rows import ModelRow, RequestRow
+from fescuechute.entry._upstreams import served_by
+from fescuechute.entry._validate import GenerateRequest
+from fescuechute.errors import Ran, Reason, RefusedError
+from fescuechute.routing import UpstreamRow, Verdict, backoff_at, prefix_fingerprints
+from fescuechute.streams import Assembly, can_restart, can_resume
+from fescuechute.wire import End, Failed, Generate, Message, Piece
+
+if TYPE_CHECKING:
+    from fescuechute.entry._daemon import EntryDaemon
+
+#: Characters for each token in the cost estimate of a prompt.
+_CHARS_PER_TOKEN = 4
+#: Failures after which the same request may be tried again on another upstream.
+_RETRIED = (Reason.UPSTREAM_LOST, Reason.INCOMPLETE_ANSWER, Reason.WRONG_VERSION)
+
+
+class ModelSystem:
+    """Owner of model requests."""
+
+    def __init__(self, node: EntryDaemon):
+        self._node = node
+        node.dispatcher.route(ModelRow, self._route)
+
+    def submit(self, request_id: str, req: GenerateRequest, responder: Responder) -> None:
+        """Takes a request in.
+
+        Raises:
+          RefusedError: If it cannot be served.
+        """
+        now = self._node.clock.now()
+        self._check_declared(req)
+        row = ModelRow(
+            request_id,
+            self,
+            responder,
+            req.workspace,
+            req.rank,
+            req.deadline,
+            req.model,
+            req.max_tokens + len(req.prompt) / _CHARS_PER_TOKEN,
+            fingerprint=fingerprint(req),
+            prefixes=prefix_fingerprints(req.prompt),
+            req=req,
+            assembly=Assembly(request_id, streamed=req.stream),
+        )
+        if self._node.quarantine.verdict(row.fingerprint) is Verdict.QUARANTINED:
+            raise RefusedError(Reason.QUARANTINED, "This content has crashed upstreams.")
+        responder.on_gone = lambda: self._caller_gone(row)
+        self._node.retry_budget.first_attempt()
+        self._node.dispatcher.submit(row, now)
+
+    def piece(self, row: RequestRow, msg: Piece) -> None:
+        """Delivers tokens in order."""
+        assert isinstance(row, ModelRow)
+        try:
+            tokens = row.assembly.add(msg.attempt, msg.seq, msg.tokens, msg.request_id)
+        except RefusedError as exc:
+            self._broken(row, exc)
+            return
+        if tokens and row.req.stream:
+            seq = len(row.assembly.tokens) - len(tokens)
+            row.responder.push({"seq": seq, "text": "".join(tokens)})
+
+    def ended(self, row: RequestRow, msg: End) -> None:
+        """Completes the answer if every token is there and the digest matches."""
+        assert isinstance(row, ModelRow)
+        try:
+            row.assembly.finish(msg.attempt, msg.count, msg.digest, msg.request_id)
+            if not row.assembly.complete:
+                raise row.assembly.abandon("the end arrived before all tokens")
+        except RefusedError as exc:
+            self._broken(row, exc)
+            return
+        self._node.quarantine.completed(row.fingerprint)
+        self._node.dispatcher.finish(row)
+        self._node.count(f"answered.{row.rank}")
+        self._answer(row, msg)
+
+    def failed(self, row: RequestRow, reason: Reason, msg: Failed | None) -> None:
+        """Tries the request again where that is safe, else tells the caller."""
+        assert isinstance(row, ModelRow)
+        now = self._node.clock.now()
+        row.tries += 1
+        row.assembly.abandon("the attempt failed")
+        if reason is Reason.DEADLINE_PASSED:
+            self._refuse(row, RefusedError(reason, "The deadline has passed.", ran=row.ran))
+            return
+        if reason not in _RETRIED or not self._may_retry(row, now):
+            found = msg.message if msg is not None else "The link to the upstream was lost."
+            self._refuse(row, RefusedError(reason, found, ran=Ran.PARTIAL, retry_at=now + 1.0))
+            return
+        self._node.count(f"retried.{reason}")
+        row.not_before = backoff_at(row.tries, now, self._node.rng)
+        self._node.dispatcher.retry_at(row, row.not_before)
+
+    def gave_up(self, row: RequestRow, reason: Reason, retry_at: float | None) -> None:
+        """Refuses a request that no upstream took."""
+        found = f"No upstream took the request in time ({reason})."
+        self._refuse(row, RefusedError(reason, found, ran=row.ran, retry_at=retry_at))
+
+    def _check_declared(self, req: GenerateRequest) -> None:
+        proc = self._node.cfg.process
+        state = self._node.notes.ledger.state
+        declared = {(r.kind, r.name) for r in state.declared_for(req.model, proc.region, proc.data_centre)}
+        wanted = [("model", req.model, Reason.UNKNOWN_MODEL)]
+        if req.adapter:
+            wanted.append(("adapter", req.adapter, Reason.UNKNOWN_ADAPTER))
+        for kind, name, reason in wanted:
+            if (kind, name) not in declared:
+                found = f"No {kind} {name!r} is declared for region {proc.region}."
+                raise RefusedError(reason, found)
+            if not state.allowed(kind, name, req.workspace, proc.region, proc.data_centre):
+                found = f"The note in force does not give {kind} {name!r} to {req.workspace!r}."
+                raise RefusedError(Reason.UNKNOWN_WORKSPACE, found)
+
+    def _route(self, row: RequestRow, now: float) -> tuple[UpstreamRow, Message] | None:
+        assert isinstance(row, ModelRow)
+        verdict = self._node.quarantine.verdict(row.fingerprint)
+        if verdict is Verdict.QUARANTINED:
+            found = "This content has crashed upstreams."
+            self._refuse(row, RefusedError(Reason.QUARANTINED, found, ran=row.ran))
+            return None
+        if not self._node.quarantine.may_run(row.fingerprint, now):
+            return None
+        solo = verdict is Verdict.SUSPECT
+        req = row.req
+        wanted = (req.model, req.adapter)
+        begun = row.served if row.assembly.tokens else None
+        exactly = None if begun is None or can_restart(1, req.stream) else begun
+        upstream = self._node.upstreams.choose(
+            row.pool,
+            now,
+            excluded=row.excluded,
+            prefixes=row.prefixes,
+            solo=solo,
+            wanted=wanted,
+            exactly=exactly,
+        )
+        served = served_by(upstream, wanted) if upstream is not None else None
+        if upstream is None or served is None:
+            return None
+        resume = row.assembly.tokens if begun and can_resume(begun, served) else ()
+        row.attempt += 1
+        row.served = served
+        row.assembly.begin_attempt(row.attempt, len(resume))
+        msg = Generate(
+            row.request_id,
+            row.attempt,
+            req.model,
+            served.version,
+            req.adapter,
+            served.adapter_version,
+            req.workspace,
+            req.rank,
+            req.deadline,
+            req.prompt,
+            req.max_tokens,
+            resume,
+            row.fingerprint,
+            solo,
+        )
+        return upstream, msg
+
+    def _may_retry(self, row: ModelRow, now: float) -> bool:
+        if not row.responder.is_open or row.tries >= self._node.cfg.retry.max_attempts:
+            return False
+        if self._node.quarantine.verdict(row.fingerprint) is Verdict.QUARANTINED:
+            return False
+        if self._node.retry_budget.try_spend(now):
+            return True
+        self._node.count(f"refused.{Reason.RETRY_BUDGET}")
+        return False
+
+    def _broken(self, row: ModelRow, exc: RefusedError) -> None:
+        """The answer of this attempt contradicts itself."""
+        self._node.count(f"broken.{exc.reason}")
+        self._node.dispatcher.abandon_attempt(row)
+        self.failed(row, Reason.INCOMPLETE_ANSWER, None)
+
+    def _answer(self, row: ModelRow, msg: End) -> None:
+        end = {"count": msg.count, "digest": msg.digest, "version": msg.version}
+        if row.req.stream:
+            row.responder.push({"end": True, "request_id": row.request_id, **end})
+            row.responder.end()
+        else:
+            whole = {"request_id": row.request_id, "text": row.assembly.text}
+            row.responder.send_json(200, {**whole, "model": row.req.model, **end})
+
+    def _refuse(self, row: ModelRow, exc: RefusedError) -> None:
+        self._node.dispatcher.finish(row)
+        self._node.refused(row.responder, exc, row.request_id)
+
+    def _caller_gone(self, row: ModelRow) -> None:
+        self._node.count(f"refused.{Reason.CANCELLED}")
+        self._node.dispatcher.finish(row)
+
+
+def fingerprint(req: GenerateRequest) -> str:
+    """Returns the digest of what an engine would see of a request, whoever sends it."""
+    content = "\0".join((req.model, req.adapter, str(req.max_tokens), req.prompt))
+    return blake3.blake3(content.encode()).hexdigest(length=16)
--- a/fescuechute/net/_loop.py
+++ b/fescuechute/net/_loop.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import signal
 from collections.abc import Callable
 
 from circuits import BaseComponent, Event, Timer, handler
+from circuits.core.events import generate_events
 from circuits.core.pollers import EPoll
 
 from fescuechute.net._clock import Clock, SystemClock
@@ -38,6 +41,9 @@
         self._on_stop = on_stop
         self._owners: list[SocketOwner] = []
         self._signalled = False
+        #: Due time, tie breaker and function of each pending call.
+        self._pending: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
         self._timer = Timer(interval_s, tick(), self.channel, persist=True).register(self)
 
     def add(self, owner: SocketOwner) -> None:
@@ -46,6 +52,10 @@
         owner.register(self)
         self._owners.append(owner)
 
+    def call_at(self, at: float, function: Callable[[], None]) -> None:
+        """Calls a function once, at a unix time, for what cannot wait until the next tick."""
+        heapq.heappush(self._pending, (at, next(self._order), function))
+
     def run_until_closed(self) -> None:
         """Runs in the calling thread until `close`."""
         # A caller that goes away must not end the process.
@@ -64,6 +74,16 @@
         event.stop()
         self._signalled = True
 
+    @handler("generate_events")
+    def _on_generate_events(self, event: generate_events) -> None:
+        while self._pending:
+            left = self._pending[0][0] - self.clock.now()
+            if left > 0:
+                event.reduce_time_left(left)
+                return
+            heapq.heappop(self._pending)[2]()
+            event.reduce_time_left(0)
+
     @handler("tick")
     def _on_tick_event(self) -> None:
         if self._signalled:
--- a/fescuechute/node/__init__.py
+++ b/fescuechute/node/__init__.py
@@ -1,7 +1,7 @@
 """What every daemon shares: links, platform access, membership and the note in force."""
 
-from fescuechute.node._node import Node
+from fescuechute.node._node import Node, pair
 from fescuechute.node._notes import NOTES_STREAM, NoteFollower
 from fescuechute.node._vms import VmListPoller
 
-__all__ = ["NOTES_STREAM", "Node", "NoteFollower", "VmListPoller"]
+__all__ = ["NOTES_STREAM", "Node", "NoteFollower", "VmListPoller", "pair"]
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -10,12 +10,12 @@
 from typing import Any
 
 from fescuechute.logs import part_logger
-from fescuechute.membership import Directory
+from fescuechute.membership import Directory, duty_holders
 from fescuechute.metrics import Metrics
 from fescuechute.net import HttpClient, LinkHub, Loop, SystemClock
 from fescuechute.node._notes import NoteFollower
 from fescuechute.node._vms import VmListPoller
-from fescuechute.routing import Quarantine
+from fescuechute.routing import CrashEvent, Quarantine
 from fescuechute.settings import Address, Settings
 from fescuechute.wire import PROTOCOL_VERSION, Crash, Digest, Hello, Message, PullRecords, Records
 
@@ -145,10 +145,10 @@
     def link_up(self, peer_id: str, hello: Hello) -> None:
         """Greets a new peer with what it may not know yet."""
         self.log.debug("Link to {} is up.", peer_id)
-        self.directory.observed_up(peer_id)
+        self.directory.observed_up(peer_id, hello.boot_id)
         self.notes.greet(peer_id)
-        for crash in self.quarantine.events():
-            self.hub.send(peer_id, crash)
+        for event in self.quarantine.events():
+            self.hub.send(peer_id, Crash(event.crash_id, event.fingerprints, event.at))
         self.on_link_up(peer_id, hello)
 
     def link_down(self, peer_id: str, reason: str) -> None:
@@ -191,7 +191,8 @@
 
     def report_crash(self, crash: Crash) -> None:
         """Merges a crash report and passes it on when it is new."""
-        if self.quarantine.merge(crash, self.clock.now()):
+        event = CrashEvent(crash.crash_id, crash.fingerprints, crash.at)
+        if self.quarantine.merge(event, self.clock.now()):
             self.log.warn("Crash {} of {} request(s).", crash.crash_id, len(crash.fingerprints))
             self.hub.broadcast(crash)
             self.quarantine_changed()
@@ -199,7 +200,7 @@
     def _is_log_reader(self) -> bool:
         proc = self.cfg.process
         ids = self.directory.live_ids(proc.data_centre)
-        holders = self.directory.duty_holders(f"log-reader/{proc.data_centre}", ids, LOG_READERS)
+        holders = duty_holders(f"log-reader/{proc.data_centre}", ids, LOG_READERS)
         return proc.id in holders or not ids
 
 
