--- a/fescuechute/routing/__init__.py
+++ b/fescuechute/routing/__init__.py
@@ -1,1 +1,20 @@
-"""Placeholder docstring, replaced with the package."""
+"""Choice of upstream, retries, and quarantine of requests that crash upstreams."""
+
+from fescuechute.routing._choose import Policy, RouteRequest, choose
+from fescuechute.routing._prefixes import prefix_fingerprints
+from fescuechute.routing._quarantine import Quarantine, Verdict
+from fescuechute.routing._retries import RetryBudget, backoff_at
+from fescuechute.routing._rows import UpstreamRow, Weight
+
+__all__ = [
+    "Policy",
+    "Quarantine",
+    "RetryBudget",
+    "RouteRequest",
+    "UpstreamRow",
+    "Verdict",
+    "Weight",
+    "backoff_at",
+    "choose",
+    "prefix_fingerprints",
+]
--- /dev/null
+++ b/tests/routing/test_choose.py
@@ -0,0 +1,128 @@
+"""Choice of upstream: each case guards against work sent where it cannot or should not run."""
+
+import random
+
+import pytest
+
+from fescuechute.routing import Policy, RouteRequest, UpstreamRow, choose, prefix_fingerprints
+
+WEIGHTS = frozenset({("model", "m", "2")})
+REQ = RouteRequest(upstream="m", region="norte", weights=WEIGHTS)
+
+
+def _row(agent_id="a1", **changes) -> UpstreamRow:
+    fields = {
+        "upstream": "m",
+        "region": "norte",
+        "data_centre": "norte-1",
+        "state": "live",
+        "slots": 4,
+        "weights": WEIGHTS,
+        "linked": True,
+    }
+    return UpstreamRow(agent_id, **(fields | changes))
+
+
+@pytest.mark.parametrize("policy", list(Policy))
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({"linked": False}, id="no_link"),
+        pytest.param({"state": "draining"}, id="leaving"),
+        pytest.param({"state": "switching"}, id="switching"),
+        pytest.param({"upstream": "other"}, id="other_pool"),
+        pytest.param({"weights": frozenset({("model", "m", "1")})}, id="old_version"),
+        pytest.param({"weights": frozenset()}, id="weights_not_confirmed"),
+        pytest.param({"not_before": 100.1}, id="backoff"),
+        pytest.param({"agent_id": "excluded"}, id="excluded"),
+        pytest.param({"reported_running": 4, "reported_queued": 1}, id="no_room"),
+        pytest.param({"reported_running": 3, "sent_since_report": 2}, id="no_room_after_sends"),
+    ],
+)
+def test_unusable_upstream_is_never_chosen(policy, changes):
+    """An upstream that cannot run the request would refuse it or run it with wrong weights."""
+    req = RouteRequest("m", "norte", WEIGHTS, excluded=frozenset({"excluded"}))
+    rows = [_row(**({"agent_id": "bad"} | changes))]
+    assert choose(rows, req, random.Random(1), policy, 100.0) is None
+    rows.append(_row("good", reported_running=4))
+    assert choose(rows, req, random.Random(1), policy, 100.0).agent_id == "good"
+
+
+@pytest.mark.parametrize("policy", list(Policy))
+def test_own_region_is_preferred_while_it_has_room(policy):
+    """A request must not cross regions while its own can take it, nor fail while another can."""
+    near, far = _row("near", reported_running=4), _row("far", region="sur")
+    rng = random.Random(2)
+    assert {choose([near, far], REQ, rng, policy, 0.0).agent_id for _ in range(20)} == {"near"}
+    near.sent_since_report = 1
+    assert choose([near, far], REQ, rng, policy, 0.0).agent_id == "far"
+
+
+def test_two_choices_avoids_the_busier_upstream():
+    """A policy that ignores load would send half of the work to the busy upstream."""
+    rows = [_row("busy", slots=4, reported_running=3), _row("idle", slots=8, reported_running=3)]
+    rng = random.Random(3)
+    picked = {choose(rows, REQ, rng, Policy.TWO_CHOICES, 0.0).agent_id for _ in range(50)}
+    assert picked == {"idle"}
+
+
+def test_round_robin_reaches_each_upstream_in_turn():
+    """Round robin without memory would favour some upstreams."""
+    rows = [_row(name) for name in "abc"]
+    order = []
+    for now in range(1, 7):
+        row = choose(rows, REQ, random.Random(4), Policy.ROUND_ROBIN, float(now))
+        row.sent(float(now))
+        order.append(row.agent_id)
+    assert order == list("abcabc")
+
+
+def test_warm_upstream_is_chosen_until_its_load_exceeds_the_bound():
+    """Affinity without a bound piles one popular prefix onto a single upstream."""
+    prefixes = prefix_fingerprints("x" * 2000)
+    req = RouteRequest("m", "norte", WEIGHTS, prefixes=prefixes)
+    warm, cold = _row("warm", slots=8), _row("cold", slots=8)
+    warm.sent(1.0, prefixes)
+    warm.report("live", 0, 0, 8, 2.0)
+    picks = []
+    for _ in range(20):
+        row = choose([warm, cold], req, random.Random(5), Policy.PREFIX_BOUNDED, 3.0)
+        if row is None:
+            break
+        row.sent_since_report += 1
+        picks.append(row.agent_id)
+        assert (warm.outstanding) <= 1.5 * (cold.outstanding + 1)
+    assert picks[0] == "warm"
+    assert "cold" in picks
+
+
+def test_solo_request_goes_to_the_emptiest_upstream():
+    """A suspect sent to a busy upstream would take other requests down with it."""
+    rows = [_row("busy", reported_running=2), _row("empty"), _row("busier", reported_running=3)]
+    req = RouteRequest("m", "norte", WEIGHTS, solo=True)
+    for seed in range(20):
+        assert choose(rows, req, random.Random(seed), Policy.RANDOM, 0.0).agent_id == "empty"
+
+
+def test_prefix_fingerprints_depend_on_the_whole_prefix():
+    """Equal fingerprints for different prefixes would send requests to cold upstreams."""
+    shared = "a" * 1024
+    one, two = prefix_fingerprints(shared + "b" * 512), prefix_fingerprints(shared + "c" * 512)
+    assert one[:2] == two[:2]
+    assert one[2] != two[2]
+    assert prefix_fingerprints("short") == ()
+    assert len(prefix_fingerprints("ñ" * 1_000_000)) == 16
+
+
+def test_report_replaces_what_was_sent_before_it():
+    """Counting sends twice would make an idle upstream look full."""
+    row = _row()
+    row.sent(1.0)
+    row.sent(1.0)
+    assert row.outstanding == 2
+    row.report("live", 2, 0, 4, 2.0)
+    assert row.outstanding == 2
+    row.ended()
+    row.ended()
+    row.ended()
+    assert row.outstanding == 0
--- /dev/null
+++ b/tests/streams/test_assembly.py
@@ -0,0 +1,254 @@
+"""Whole answers: each case guards against an answer that looks complete but is not."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from fescuechute.errors import Ran, Reason
+from fescuechute.streams import (
+    Assembly,
+    IncompleteAnswerError,
+    Served,
+    can_restart,
+    can_resume,
+    text_digest,
+)
+
+TOKENS = ("cor", "te", " ", "á", "ngulo", "")
+
+
+def _assembly(**options) -> Assembly:
+    answer = Assembly("r1", **options)
+    answer.begin_attempt(1, 0)
+    return answer
+
+
+def test_pieces_in_order_make_the_answer():
+    """The plain case must not be refused."""
+    answer = _assembly()
+    assert answer.add(1, 0, TOKENS[:2]) == TOKENS[:2]
+    assert answer.add(1, 2, TOKENS[2:]) == TOKENS[2:]
+    assert not answer.complete
+    answer.finish(1, 6, text_digest(TOKENS))
+    assert answer.complete
+    assert answer.text == "".join(TOKENS)
+
+
+def test_early_piece_and_early_end_wait_for_the_missing_piece():
+    """Reordered messages must neither reorder the text nor end the answer early."""
+    answer = _assembly()
+    assert answer.add(1, 2, TOKENS[2:]) == ()
+    answer.finish(1, 6, text_digest(TOKENS))
+    assert not answer.complete
+    assert answer.add(1, 0, TOKENS[:2]) == TOKENS
+    assert answer.complete
+
+
+def test_late_messages_of_an_earlier_attempt_are_dropped():
+    """A slow first upstream must not mix its tokens into the second one's answer."""
+    answer = _assembly()
+    answer.begin_attempt(2, 0)
+    assert answer.add(1, 0, ("old",)) == ()
+    answer.finish(1, 1, text_digest(("old",)))
+    assert not answer.complete
+    assert answer.add(2, 0, ("new",)) == ("new",)
+    answer.finish(2, 1, text_digest(("new",)))
+    assert answer.text == "new"
+
+
+def test_resumed_attempt_goes_on_after_the_delivered_tokens():
+    """A moved stream must neither repeat nor skip tokens."""
+    answer = _assembly()
+    answer.add(1, 0, TOKENS[:3])
+    answer.begin_attempt(2, 3)
+    assert answer.add(2, 2, TOKENS[2:]) == TOKENS[3:]
+    answer.finish(2, 6, text_digest(TOKENS))
+    assert answer.complete
+
+
+def test_streamed_answer_does_not_restart_after_delivery():
+    """A restart would show the caller the beginning twice, or two different texts in one."""
+    answer = _assembly()
+    answer.add(1, 0, TOKENS[:1])
+    with pytest.raises(IncompleteAnswerError) as caught:
+        answer.begin_attempt(2, 0)
+    assert caught.value.reason is Reason.INCOMPLETE_ANSWER
+    assert caught.value.ran is Ran.PARTIAL
+
+
+def test_whole_answer_restarts_from_nothing():
+    """An answer that the caller has not seen may begin again without a trace of the first."""
+    answer = _assembly(streamed=False)
+    answer.add(1, 0, ("old",))
+    answer.begin_attempt(2, 0)
+    answer.add(2, 0, ("new",))
+    answer.finish(2, 1, text_digest(("new",)))
+    assert answer.text == "new"
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        pytest.param([("finish", 1, 5, text_digest(TOKENS))], id="count_too_low"),
+        pytest.param([("finish", 1, 6, "0" * 64)], id="wrong_digest"),
+        pytest.param([("add", 1, 0, ("other",))], id="other_token_at_a_known_position"),
+        pytest.param([("add", 1, -1, ("x",))], id="negative_position"),
+        pytest.param(
+            [("finish", 1, 8, "0" * 64), ("add", 1, 6, ("a", "b", "c"))], id="beyond_the_end"
+        ),
+        pytest.param([("finish", 1, 8, "0" * 64), ("finish", 1, 9, "0" * 64)], id="two_ends"),
+        pytest.param([("add", 1, 10, ("x",) * 9)], id="gap_beyond_the_bound"),
+    ],
+)
+def test_contradiction_is_a_visible_error(steps):
+    """A contradiction that passes silently would show a wrong answer as complete."""
+    answer = _assembly(max_early=8)
+    answer.add(1, 0, TOKENS)
+    with pytest.raises(IncompleteAnswerError):
+        for name, *arguments in steps:
+            getattr(answer, name)(*arguments)
+    assert not answer.complete
+    answer.finish(1, 6, text_digest(TOKENS))
+    assert not answer.complete, "a failed attempt must not become complete later"
+
+
+@pytest.mark.parametrize(
+    ("offered", "allowed"),
+    [
+        pytest.param(Served("m", "2", "a", "7"), True, id="same"),
+        pytest.param(Served("m", "3", "a", "7"), False, id="model_version"),
+        pytest.param(Served("m", "2", "a", "8"), False, id="adapter_version"),
+        pytest.param(Served("m", "2", "b", "7"), False, id="adapter"),
+        pytest.param(Served("m", "2"), False, id="no_adapter"),
+        pytest.param(Served("n", "2", "a", "7"), False, id="model"),
+    ],
+)
+def test_resume_needs_equal_model_adapter_and_versions(offered, allowed):
+    """A stream that moves to other weights would mix two texts."""
+    assert can_resume(Served("m", "2", "a", "7"), offered) is allowed
+
+
+def test_unknown_versions_never_match():
+    """Two unknown versions are not known to be equal."""
+    assert not can_resume(Served("m", ""), Served("m", ""))
+    assert not can_resume(Served("m", "1", "a", ""), Served("m", "1", "a", ""))
+
+
+def test_restart_only_before_the_caller_saw_anything():
+    """A restart after the first delivered token would repeat text."""
+    assert can_restart(0, streamed=True)
+    assert can_restart(5, streamed=False)
+    assert not can_restart(1, streamed=True)
+
+
+tokens_lists = st.lists(st.sampled_from(["a", "b", "ñ", "", " cd"]), max_size=8).map(tuple)
+
+
+@settings(max_examples=200)
+@given(
+    produced=tokens_lists,
+    order=st.lists(st.integers(0, 9), max_size=30),
+    cuts=st.lists(st.integers(0, 8), max_size=4),
+)
+def test_any_delivery_of_one_attempt_is_whole_or_incomplete(produced, order, cuts):
+    """Reordering, repetition and loss of messages must never pass for a complete wrong answer."""
+    bounds = sorted({0, len(produced), *(min(cut, len(produced)) for cut in cuts)})
+    pieces = [(a, produced[a:b]) for a, b in itertools.pairwise(bounds)]
+    messages = [*pieces, None]
+    answer = _assembly()
+    delivered: tuple[str, ...] = ()
+    arrived = set()
+    for index in order:
+        message = messages[index % len(messages)]
+        arrived.add(index % len(messages))
+        if message is None:
+            answer.finish(1, len(produced), text_digest(produced))
+        else:
+            delivered += answer.add(1, *message)
+        assert delivered == produced[: len(delivered)]
+    assert answer.complete == (len(arrived) == len(messages))
+    if answer.complete:
+        assert delivered == produced
+
+
+class AssemblyMachine(RuleBasedStateMachine):
+    """Attempts that move, old attempts that go on, and pieces of other requests, in any order.
+
+    An attempt produces its own text after the resumed tokens, so a mix of attempts is visible.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.answer = Assembly("r1")
+        self.texts: dict[int, tuple[str, ...]] = {}
+        self.delivered: tuple[str, ...] = ()
+        self.failed = False
+
+    @rule(length=st.integers(0, 5), resume=st.booleans())
+    def begin(self, length, resume):
+        if self.answer.complete:
+            return
+        attempt = max(self.texts, default=0) + 1
+        count = len(self.answer.tokens) if resume else 0
+        try:
+            self.answer.begin_attempt(attempt, count)
+        except IncompleteAnswerError:
+            assert self.delivered, "nothing reached the caller, so nothing forbids a restart"
+            return
+        tail = tuple(f"{attempt}.{i} " for i in range(length))
+        self.texts[attempt] = self.answer.tokens + tail
+        self.failed = False
+
+    @precondition(lambda self: self.texts)
+    @rule(data=st.data(), begin=st.integers(0, 9), size=st.integers(0, 5))
+    def piece(self, data, begin, size):
+        attempt = data.draw(st.sampled_from(sorted(self.texts)))
+        text = self.texts[attempt]
+        begin = min(begin, len(text))
+        self._add(attempt, begin, text[begin : begin + size], "r1")
+
+    @precondition(lambda self: self.texts)
+    @rule(data=st.data())
+    def end(self, data):
+        attempt = data.draw(st.sampled_from(sorted(self.texts)))
+        text = self.texts[attempt]
+        try:
+            self.answer.finish(attempt, len(text), text_digest(text), "r1")
+        except IncompleteAnswerError:
+            self.failed = True
+
+    @precondition(lambda self: self.texts)
+    @rule(seq=st.integers(0, 9))
+    def foreign_piece(self, seq):
+        before = self.answer.tokens
+        assert self.answer.add(self.answer.attempt, seq, ("foreign",), "r2") == ()
+        assert self.answer.tokens == before
+
+    @precondition(lambda self: self.texts)
+    @rule(seq=st.integers(0, 3))
+    def corrupt_piece(self, seq):
+        """A piece of another text that carries the right request id and attempt."""
+        self._add(self.answer.attempt, seq, ("corrupt",), "r1")
+
+    def _add(self, attempt, begin, tokens, request_id):
+        try:
+            self.delivered += self.answer.add(attempt, begin, tokens, request_id)
+        except IncompleteAnswerError:
+            self.failed = True
+
+    @invariant()
+    def resume_point_is_what_the_caller_has(self):
+        assert self.answer.tokens == self.delivered
+
+    @invariant()
+    def complete_means_exact(self):
+        if self.answer.complete:
+            assert not self.failed
+            assert self.delivered == self.texts[self.answer.attempt]
+            assert "corrupt" not in self.delivered
+
+
+TestAssemblyMachine = AssemblyMachine.TestCase
