--- a/fescuechute/notes/__init__.py
+++ b/fescuechute/notes/__init__.py
@@ -1,1 +1,45 @@
-"""Placeholder docstring, replaced with the package."""
+"""Release notes: types, parsing, and the fold that decides which notes are accepted.
+
+The fold is pure. Every process and every auditor that reads the same log gets the same verdicts.
+
+Example:
+  >>> from fescuechute.notes import Ledger
+  >>> ledger = Ledger()
+  >>> [entry] = ledger.apply({"offset": 0, "time": 1.0, "id": "n1", "data": {"schema": 2}})
+  >>> entry.accepted, ledger.state.revision
+  (False, 0)
+"""
+
+from fescuechute.notes._fold import Verdict, fold
+from fescuechute.notes._ledger import DEFAULT_HISTORY, HistoryEntry, Ledger
+from fescuechute.notes._note import (
+    MAX_NOTE_BYTES,
+    SCHEMA,
+    Note,
+    Release,
+    Withdrawal,
+    note_to_dict,
+    parse_note,
+)
+from fescuechute.notes._snapshot import Folded, Snapshot, parse_snapshot, snapshot_to_dict
+from fescuechute.notes._state import ReleaseState
+
+__all__ = [
+    "DEFAULT_HISTORY",
+    "MAX_NOTE_BYTES",
+    "SCHEMA",
+    "Folded",
+    "HistoryEntry",
+    "Ledger",
+    "Note",
+    "Release",
+    "ReleaseState",
+    "Snapshot",
+    "Verdict",
+    "Withdrawal",
+    "fold",
+    "note_to_dict",
+    "parse_note",
+    "parse_snapshot",
+    "snapshot_to_dict",
+]
--- /dev/null
+++ b/fescuechute/notes/_note.py
@@ -0,0 +1,235 @@
+"""Note types and the strict parser."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from fescuechute.checks import (
+    Choice,
+    Findings,
+    HexDigest,
+    Tables,
+    Text,
+    Texts,
+    Whole,
+    checked,
+    describe,
+    read_table,
+)
+from fescuechute.errors import NoteError
+
+#: The schema that this version reads and writes.
+SCHEMA = 1
+
+#: Largest encoded note. A record must fit several times into a frame between processes (1 MiB).
+MAX_NOTE_BYTES = 256 * 1024
+
+#: JSON readers and msgpack agree on whole numbers up to here.
+_MAX_WHOLE = 2**53
+
+_KIND = Choice(("model", "adapter"))
+_NAME = Text(longest=128)
+
+
+@attrs.frozen
+class Release:
+    """One model or adapter that a note declares."""
+
+    #: `model` or `adapter`.
+    kind: str = attrs.field(metadata=checked(_KIND))
+    name: str = attrs.field(metadata=checked(_NAME))
+    version: str = attrs.field(metadata=checked(_NAME))
+    #: blake3 hex of the manifest blob.
+    manifest: str = attrs.field(metadata=checked(HexDigest()))
+    #: Bytes of all blobs of the manifest.
+    size: int = attrs.field(metadata=checked(Whole(1, _MAX_WHOLE)))
+    #: Regions or data centres, or `*` alone for all.
+    places: tuple[str, ...] = attrs.field(metadata=checked(Texts(allow_empty=False)))
+    #: Workspaces that may use it, or `*` alone for all.
+    workspaces: tuple[str, ...] = attrs.field(metadata=checked(Texts(allow_empty=False)))
+    #: The model that an adapter belongs to; empty for a model.
+    model: str = attrs.field(default="", metadata=checked(Text(longest=128, allow_empty=True)))
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Kind and name, which identify a release within a state."""
+        return self.kind, self.name
+
+    def is_for_place(self, region: str, data_centre: str) -> bool:
+        """Returns whether the release is declared for a place."""
+        return any(place in self.places for place in ("*", region, data_centre))
+
+    def is_for_workspace(self, workspace: str) -> bool:
+        """Returns whether a workspace may use the release."""
+        return "*" in self.workspaces or workspace in self.workspaces
+
+
+@attrs.frozen
+class Withdrawal:
+    """One model or adapter that a note withdraws from places."""
+
+    kind: str = attrs.field(metadata=checked(_KIND))
+    name: str = attrs.field(metadata=checked(_NAME))
+    #: Places as the release names them, or `*` alone to withdraw it everywhere.
+    places: tuple[str, ...] = attrs.field(metadata=checked(Texts(allow_empty=False)))
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Kind and name of the release."""
+        return self.kind, self.name
+
+
+@attrs.frozen
+class Note:
+    """A release note as an operator publishes it."""
+
+    id: str = attrs.field(metadata=checked(_NAME))
+    #: The revision that the author saw in force; any other revision in force rejects the note.
+    base: int = attrs.field(metadata=checked(Whole(0, _MAX_WHOLE)))
+    author: str = attrs.field(metadata=checked(Text()))
+    message: str = attrs.field(metadata=checked(Text(longest=4096)))
+    #: Releases to add; each replaces the release of the same kind and name as a whole.
+    set: tuple[Release, ...] = attrs.field(default=(), metadata=checked(Tables(Release)))
+    withdraw: tuple[Withdrawal, ...] = attrs.field(default=(), metadata=checked(Tables(Withdrawal)))
+    schema: int = attrs.field(default=SCHEMA, metadata=checked(Whole(1)))
+
+
+def parse_note(data: bytes | Mapping[str, Any], file: str = "note") -> Note:
+    """Parses and checks a note.
+
+    Args:
+      data: JSON text in UTF-8, or the decoded object.
+      file: Name used in problems.
+
+    Raises:
+      NoteError: Lists all problems.
+    """
+    findings = Findings(file)
+    decoded = _decode(data, findings) if isinstance(data, bytes) else data
+    if findings.problems:
+        raise NoteError(findings.problems)
+    _check_size(decoded, findings)
+    _check_schema(decoded, findings)
+    if findings.problems:
+        # The keys of another schema cannot be judged, and an oversized note is not worth reading.
+        raise NoteError(findings.problems)
+    note = read_table(Note, decoded, "", findings)
+    _check_entries(decoded, findings)
+    if findings.problems:
+        raise NoteError(findings.problems)
+    return note
+
+
+def note_to_dict(note: Note) -> dict[str, Any]:
+    """Returns the JSON object of a note; `parse_note` reads it back."""
+    return {
+        "schema": note.schema,
+        "id": note.id,
+        "base": note.base,
+        "author": note.author,
+        "message": note.message,
+        "set": [release_to_dict(release) for release in note.set],
+        "withdraw": [{**attrs.asdict(item), "places": list(item.places)} for item in note.withdraw],
+    }
+
+
+def release_to_dict(release: Release) -> dict[str, Any]:
+    """Returns the JSON object of a release."""
+    data = attrs.asdict(release)
+    data["places"] = list(release.places)
+    data["workspaces"] = list(release.workspaces)
+    if release.kind == "model":
+        del data["model"]
+    return data
+
+
+def check_release(release: Mapping[str, Any], key: str, findings: Findings) -> None:
+    """Adds problems that concern several keys of one release."""
+    kind, model = release.get("kind"), release.get("model", "")
+    if kind == "adapter" and not model:
+        findings.add(f"{key}.model", "An adapter names no model.", "Name the model it belongs to.")
+    if kind == "model" and model:
+        found = f"A model names {describe(model)} as its model."
+        findings.add(f"{key}.model", found, "Remove the key or set the kind to `adapter`.")
+    _check_star(release, "places", key, findings)
+    _check_star(release, "workspaces", key, findings)
+
+
+def _decode(data: bytes, findings: Findings) -> Any:
+    def without_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        # Readers differ in which of two equal keys they keep, so an auditor could read the note
+        # differently.
+        names = [name for name, _ in pairs]
+        for name in sorted({name for name in names if names.count(name) > 1}):
+            findings.add(name, "The key appears more than once.", "Keep one of them.")
+        return dict(pairs)
+
+    if len(data) > MAX_NOTE_BYTES:
+        return _add_size(len(data), findings)
+    try:
+        return json.loads(data.decode(), object_pairs_hook=without_repeats)
+    except (ValueError, RecursionError) as exc:
+        return findings.add("", f"This is not valid JSON: {exc}.", "Correct the syntax.")
+
+
+def _check_size(decoded: object, findings: Findings) -> None:
+    try:
+        size = len(json.dumps(decoded, ensure_ascii=False).encode())
+    except (TypeError, ValueError, RecursionError) as exc:
+        findings.add("", f"The note cannot be written as JSON: {exc}.", "Use JSON values only.")
+        return
+    if size > MAX_NOTE_BYTES:
+        _add_size(size, findings)
+
+
+def _add_size(size: int, findings: Findings) -> Any:
+    found = f"The note has {size} bytes."
+    return findings.add("", found, f"Split it; the limit is {MAX_NOTE_BYTES} bytes.")
+
+
+def _check_schema(decoded: object, findings: Findings) -> None:
+    if not isinstance(decoded, Mapping):
+        findings.add("", f"Found {describe(decoded)}.", "Write an object with the keys of a note.")
+    elif "schema" not in decoded:
+        findings.add("schema", "The key is missing.", f"Add `schema` with the number {SCHEMA}.")
+    elif decoded["schema"] != SCHEMA or isinstance(decoded["schema"], bool | float):
+        found = f"Found {describe(decoded['schema'])}, an unknown schema."
+        findings.add("schema", found, f"Write {SCHEMA}, or use a version that knows this schema.")
+
+
+def _check_entries(decoded: Mapping[str, Any], findings: Findings) -> None:
+    releases, withdrawals = _tables(decoded, "set"), _tables(decoded, "withdraw")
+    if not releases and not withdrawals and not findings.problems:
+        findings.add("", "The note declares nothing.", "Add an entry to `set` or `withdraw`.")
+    for key, release in releases:
+        check_release(release, key, findings)
+    for key, withdrawal in withdrawals:
+        _check_star(withdrawal, "places", key, findings)
+    seen: dict[tuple[str, str], str] = {}
+    for key, item in releases + withdrawals:
+        kind, name = item.get("kind"), item.get("name")
+        if not isinstance(kind, str) or not isinstance(name, str):
+            continue
+        if (kind, name) in seen:
+            found = f"Found {kind} {describe(name)} here and in {seen[kind, name]}."
+            findings.add(key, found, "Keep one entry for each kind and name.")
+        seen.setdefault((kind, name), key)
+
+
+def _check_star(item: Mapping[str, Any], name: str, key: str, findings: Findings) -> None:
+    values = item.get(name)
+    if isinstance(values, list | tuple) and "*" in values and len(values) > 1:
+        found = 'Found "*" beside other entries.'
+        findings.add(f"{key}.{name}", found, 'Write ["*"] alone, or name each entry.')
+
+
+def _tables(decoded: Mapping[str, Any], name: str) -> list[tuple[str, Mapping[str, Any]]]:
+    """Returns the tables of a list with their dotted keys; other values are reported elsewhere."""
+    value = decoded.get(name)
+    if not isinstance(value, list | tuple):
+        return []
+    return [(f"{name}[{i}]", item) for i, item in enumerate(value) if isinstance(item, Mapping)]
--- /dev/null
+++ b/fescuechute/notes/_state.py
@@ -0,0 +1,56 @@
+"""The folded state: what is declared at one revision."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from fescuechute.notes._note import Release
+
+
+@attrs.frozen(hash=False)
+class ReleaseState:
+    """Everything that the accepted notes declare. The mapping is never changed in place."""
+
+    #: Number of accepted notes.
+    revision: int = 0
+    #: Offset of the last accepted note, -1 before the first.
+    offset: int = -1
+    #: Releases by (kind, name).
+    releases: Mapping[tuple[str, str], Release] = attrs.field(factory=dict)
+
+    def get(self, kind: str, name: str) -> Release | None:
+        """Returns a release, or None when it is not declared anywhere."""
+        return self.releases.get((kind, name))
+
+    def declared_for(self, model: str, region: str, data_centre: str) -> tuple[Release, ...]:
+        """Returns what an engine of a model must hold at a place.
+
+        Returns:
+          The model, then its adapters by name. Empty when the model is not declared there.
+        """
+        release = self.get("model", model)
+        if release is None or not release.is_for_place(region, data_centre):
+            return ()
+        adapters = [
+            other
+            for other in self.releases.values()
+            if other.model == model and other.is_for_place(region, data_centre)
+        ]
+        return (release, *sorted(adapters, key=lambda adapter: adapter.name))
+
+    def allowed(self, kind: str, name: str, workspace: str, region: str, data_centre: str) -> bool:
+        """Returns whether a workspace may use a release at a place.
+
+        An adapter is usable only where its model is declared too.
+        """
+        release = self.get(kind, name)
+        if release is None or not release.is_for_workspace(workspace):
+            return False
+        base = release if kind == "model" else self.get("model", release.model)
+        return (
+            base is not None
+            and base.is_for_place(region, data_centre)
+            and release.is_for_place(region, data_centre)
+        )
--- /dev/null
+++ b/tests/notes/test_fold.py
@@ -0,0 +1,133 @@
+"""Fold and state: guards against notes accepted against the wrong state or served elsewhere."""
+
+import pytest
+from note_examples import adapter, note, release, withdrawal
+
+from fescuechute.notes import ReleaseState, fold, parse_note
+
+
+def folded(*notes):
+    """Returns the state after notes that must all be accepted."""
+    state = ReleaseState()
+    for offset, data in enumerate(notes):
+        verdict = fold(state, offset, 1.0, parse_note(data))
+        assert verdict.accepted, verdict.reason
+        state = verdict.state
+    return state
+
+
+def test_accepted_note_raises_the_revision_by_one():
+    """The revision counts accepted notes; the offset is the fence of orders."""
+    state = folded(note(), note("n2", 1, set=[release(version="2")]))
+    assert (state.revision, state.offset) == (2, 1)
+    assert state.get("model", "carga").version == "2"
+
+
+def test_earlier_state_is_not_changed():
+    """A verdict must not alter the state that other code still holds."""
+    before = folded(note())
+    fold(before, 5, 1.0, parse_note(note("n2", 1, withdraw=[withdrawal()])))
+    assert before.get("model", "carga") is not None
+
+
+REJECTED = {
+    "old base": (note("n2", 0), "base is revision 0, but revision 1"),
+    "future base": (note("n2", 7), "base is revision 7"),
+    "withdraws the unknown": (note("n2", 1, withdraw=[withdrawal("x")]), "not declared"),
+    "withdraws part of a star": (
+        note("n2", 1, withdraw=[withdrawal(places=["sur"])]),
+        "declared for *",
+    ),
+    "adapter of an unknown model": (note("n2", 1, set=[adapter(model="x")]), "model x"),
+    "withdraws a model in use": (note("n2", 1, withdraw=[withdrawal()]), "Adapter grua"),
+}
+
+
+@pytest.mark.parametrize(("data", "reason"), REJECTED.values(), ids=REJECTED.keys())
+def test_rejected_note_changes_nothing(data, reason):
+    """A rejected note must have no effect and must say why."""
+    state = folded(note(set=[release(), adapter()]))
+    verdict = fold(state, 9, 1.0, parse_note(data))
+    assert not verdict.accepted
+    assert reason in verdict.reason
+    assert verdict.state == state
+
+
+def test_note_that_makes_the_state_too_large_is_rejected():
+    """A state that no snapshot can carry would be lost when its notes age out."""
+    state = ReleaseState()
+    places = [f"place-{i}-{'x' * 200}" for i in range(1000)]
+    verdicts = []
+    for i in range(5):
+        data = note(f"n{i}", state.revision, set=[release(f"m{i}", places=places)])
+        verdicts.append(fold(state, i, 1.0, parse_note(data)))
+        state = verdicts[-1].state
+    assert [verdict.accepted for verdict in verdicts] == [True, True, True, False, False]
+    assert "limit" in verdicts[-1].reason
+
+
+def test_withdrawal_reduces_the_places():
+    """A withdrawal from one region must leave the release in the others."""
+    state = folded(
+        note(set=[release(places=["norte", "sur"])]),
+        note("n2", 1, withdraw=[withdrawal(places=["sur"])]),
+    )
+    assert state.declared_for("carga", "sur", "sur-1") == ()
+    assert state.declared_for("carga", "norte", "norte-1")
+
+
+def test_withdrawal_of_the_last_place_removes_the_release():
+    """A release without places must not linger in the state."""
+    state = folded(
+        note(set=[release(places=["norte", "sur"])]),
+        note("n2", 1, withdraw=[withdrawal(places=["sur", "norte"])]),
+    )
+    assert state.releases == {}
+
+
+PLACES = {
+    "star": (["*"], True),
+    "region": (["norte"], True),
+    "data centre": (["norte-1"], True),
+    "other region": (["sur"], False),
+    "other data centre": (["norte-2"], False),
+}
+
+
+@pytest.mark.parametrize(("places", "declared"), PLACES.values(), ids=PLACES.keys())
+def test_place_matches_region_or_data_centre(places, declared):
+    """A model must be loaded exactly where it is declared."""
+    state = folded(note(set=[release(places=places), adapter()]))
+    names = [item.name for item in state.declared_for("carga", "norte", "norte-1")]
+    assert names == (["carga", "grua"] if declared else [])
+    assert state.allowed("model", "carga", "w", "norte", "norte-1") is declared
+    assert state.allowed("adapter", "grua", "w", "norte", "norte-1") is declared
+
+
+def test_only_adapters_of_the_model_and_place_are_declared():
+    """An engine must not load adapters of another model or place."""
+    state = folded(
+        note(
+            set=[
+                release(),
+                release("otro"),
+                adapter("z"),
+                adapter("a"),
+                adapter("sur", places=["sur"]),
+                adapter("b", model="otro"),
+            ]
+        )
+    )
+    names = [item.name for item in state.declared_for("carga", "norte", "norte-1")]
+    assert names == ["carga", "a", "z"]
+    assert state.declared_for("nada", "norte", "norte-1") == ()
+
+
+def test_workspace_must_be_named():
+    """A workspace must not use what another one was given."""
+    state = folded(note(set=[release(workspaces=["w1"]), adapter(workspaces=["w2"])]))
+    assert state.allowed("model", "carga", "w1", "norte", "norte-1")
+    assert not state.allowed("model", "carga", "w2", "norte", "norte-1")
+    assert state.allowed("adapter", "grua", "w2", "norte", "norte-1")
+    assert not state.allowed("adapter", "grua", "w1", "norte", "norte-1")
+    assert not state.allowed("adapter", "nada", "w1", "norte", "norte-1")
