Add the agent daemon: work table, engine and service executors, exchange and switch I/O

Thin first version of the path. Calls under a claim are completed and recorded by the agent when their entry is gone, because an entry keeps nothing.

--- a/fescuechute/agent/__init__.py
+++ b/fescuechute/agent/__init__.py
@@ -1,1 +1,5 @@
-"""Placeholder docstring, replaced with the package."""
+"""The agent daemon."""
+
+from fescuechute.agent._daemon import AgentDaemon
+
+__all__ = ["AgentDaemon"]
--- /dev/null
+++ b/fescuechute/agent/_weights.py
@@ -0,0 +1,263 @@
+"""Keeps the engine at what the note in force declares: fetches, stages, orders, reads back."""
+
+from __future__ import annotations
+
+import json
+import random
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from fescuechute.agent._exchange import ExchangeSystem
+from fescuechute.errors import Reason
+from fescuechute.net import HttpResult
+from fescuechute.notes import Release
+from fescuechute.weights import (
+    Command,
+    Drain,
+    Manifest,
+    ManifestError,
+    ReadBack,
+    Replica,
+    SendOrder,
+    Serve,
+    Stage,
+    StopServing,
+    Switch,
+    SwitchState,
+    Weight,
+    may_switch,
+    parse_manifest,
+    wave_width,
+)
+from fescuechute.wire import Status
+
+if TYPE_CHECKING:
+    from fescuechute.agent._daemon import AgentDaemon
+
+#: Seconds without an answer from the engine to a short request.
+_SILENCE_S = 2.0
+
+
+class WeightSystem:
+    """The declared set of one engine and the way there."""
+
+    def __init__(self, node: AgentDaemon, engine: tuple[str, int], enforces_fencing: bool):
+        self._node = node
+        self._engine = engine
+        rng = random.Random(f"switch/{node.cfg.process.id}/{node.boot_id}")
+        self.exchange = ExchangeSystem(node, self._blob_added)
+        self.switch = Switch(enforces_fencing, rng)
+        self._releases: tuple[Release, ...] = ()
+        self._manifests: dict[bytes, Manifest] = {}
+        self._missing: set[bytes] = set()
+        self._declared_revision = 0
+        self._declared_at = 0.0
+        self.boot_id = ""
+
+    @property
+    def state(self) -> str:
+        """State for Status."""
+        if self.switch.serving is not None:
+            return "live"
+        if self.switch.state in (SwitchState.STARTING, SwitchState.LOADING):
+            return "loading"
+        return "switching"
+
+    @property
+    def serving(self) -> frozenset[tuple[str, str, str]]:
+        """Confirmed (kind, name, version) triples that may be served."""
+        return frozenset(weight.triple for weight in self.switch.serving or ())
+
+    # Inputs.
+
+    def notes_changed(self, now: float) -> None:
+        """Takes over what the note in force declares for this VM."""
+        state = self._node.notes.ledger.state
+        if not self._node.notes.ready or state.revision == self._declared_revision:
+            return
+        self._declared_revision = state.revision
+        self._declared_at = now
+        proc = self._node.cfg.process
+        upstream = self._node.hello.upstream
+        self._releases = state.declared_for(upstream, proc.region, proc.data_centre)
+        self._want()
+        self.run(now)
+
+    def engine_lost(self, now: float) -> None:
+        """The engine crashed."""
+        self.switch.engine_lost(now)
+        self.run(now)
+
+    # Systems.
+
+    def run(self, now: float) -> None:
+        """Runs the exchange and the switch."""
+        self.exchange.set_load(bool(self._node.table.running), now)
+        self.exchange.run(now)
+        self.switch.blobs_ready(not self._missing)
+        self.switch.running(len(self._node.table.running))
+        self.switch.may_start(self._wave_allows(now))
+        for command in self.switch.plan(now):
+            self._carry_out(command)
+
+    def set_agents(self) -> None:
+        """Takes over the agents that want the same weights."""
+        agents: dict[str, list[str]] = {}
+        for row in self._node.directory.agents(upstream=self._node.hello.upstream):
+            agents.setdefault(row.region, []).append(row.id)
+        self.exchange.plan.set_agents(agents)
+
+    def _blob_added(self, digest: bytes) -> None:
+        self._missing.discard(digest)
+        if any(release.manifest == digest.hex() for release in self._releases):
+            self._want()
+        now = self._node.clock.now()
+        if not self._missing:
+            self.run(now)
+
+    def _want(self) -> None:
+        """Wants the manifests, and the chunks of those manifests that are known."""
+        digests: list[bytes] = []
+        weights: list[Weight] = []
+        for release in self._releases:
+            key = bytes.fromhex(release.manifest)
+            digests.append(key)
+            manifest = self._manifest(key, release)
+            if manifest is not None:
+                digests += manifest.digests
+                weights.append(Weight(release.kind, release.name, release.version, manifest.digests))
+        self.exchange.want(digests)
+        self._missing = {digest for digest in digests if not self.exchange.store.has(digest)}
+        if len(weights) == len(self._releases):
+            fence = self._node.notes.ledger.state.offset
+            self.switch.declared(self._declared_revision, fence, weights)
+
+    def _manifest(self, key: bytes, release: Release) -> Manifest | None:
+        known = self._manifests.get(key)
+        data = self.exchange.store.get(key) if known is None else None
+        if known is not None or data is None:
+            return known
+        try:
+            manifest = parse_manifest(data, key)
+        except ManifestError as exc:
+            self._node.count("weights.bad_manifest")
+            self._node.log.error("Manifest of {} {}: {}", release.name, release.version, exc)
+            return None
+        self._manifests[key] = manifest
+        return manifest
+
+    def _wave_allows(self, now: float) -> bool:
+        proc = self._node.cfg.process
+        target = self.switch.target
+        if target is None:
+            return False
+        rows = []
+        agents = self._node.directory.agents(upstream=self._node.hello.upstream, region=proc.region)
+        for agent in agents:
+            status = self._node.peer_status.get(agent.id)
+            linked = agent.id in self._node.hub.links
+            confirmed = status is not None and frozenset(status.weights) == target.triples
+            rows.append(Replica(agent.id, confirmed, linked, self._declared_at))
+        width = wave_width(len(rows))
+        timeout = self._node.agent_cfg.switch_timeout_s
+        return may_switch(proc.id, self._declared_revision, rows, width, now, timeout)
+
+    # Commands.
+
+    @singledispatchmethod
+    def _carry_out(self, command: Command) -> None:
+        raise TypeError(f"Unknown command {command!r}")
+
+    @_carry_out.register
+    def _(self, command: Stage) -> None:
+        data = self.exchange.store.get(command.digest)
+        if data is None:
+            return
+
+        def answered(result: HttpResult) -> None:
+            if result.ok:
+                self.switch.staged(command.digest)
+            else:
+                self._node.count("engine.stage_failed")
+            self.run(self._node.clock.now())
+
+        path = f"/staging/{command.digest.hex()}"
+        self._node.http.call("PUT", self._engine, path, answered, body=data, silence_s=5.0)
+
+    @_carry_out.register
+    def _(self, command: SendOrder) -> None:
+        body = {
+            "order": "load",
+            "fence": command.fence,
+            "revision": command.revision,
+            "weights": [
+                {
+                    "kind": weight.kind,
+                    "name": weight.name,
+                    "version": weight.version,
+                    "blobs": [digest.hex() for digest in weight.blobs],
+                }
+                for weight in command.weights
+            ],
+        }
+        self._node.count("engine.orders")
+        self._node.log.info("Ordering revision {} with fence {}.", command.revision, command.fence)
+
+        def answered(result: HttpResult) -> None:
+            now = self._node.clock.now()
+            status = result.status if not result.error else None
+            if status is None and not result.sent:
+                # Nothing reached the engine; the same as a refusal before it took effect.
+                status = 503
+            self.switch.order_result(command.order_id, status, now)
+            self.run(now)
+
+        self._node.http.call(
+            "POST",
+            self._engine,
+            "/orders",
+            answered,
+            body=json.dumps(body).encode(),
+            silence_s=max(0.1, command.deadline - self._node.clock.now()),
+            deadline=command.deadline,
+        )
+
+    @_carry_out.register
+    def _(self, command: ReadBack) -> None:
+        def answered(result: HttpResult) -> None:
+            now = self._node.clock.now()
+            body = result.json() if result.ok else None
+            if isinstance(body, dict) and not body.get("loading"):
+                self.boot_id = str(body["boot_id"])
+                triples = [(w["kind"], w["name"], w["version"]) for w in body["weights"]]
+                fence, read_id = int(body["fence"]), command.read_id
+                self.switch.engine_state(self.boot_id, triples, fence, now, read_id)
+            elif not result.ok:
+                self._node.count("engine.unreachable")
+                self.switch.engine_lost(now)
+            self.run(now)
+
+        self._node.http.call("GET", self._engine, "/state", answered, silence_s=_SILENCE_S)
+
+    @_carry_out.register
+    def _(self, command: Drain) -> None:
+        self._node.log.info("Draining the engine before a switch.")
+        self._node.table.refuse_waiting(Reason.SWITCHING, self._node.clock.now())
+        self._node.send_status()
+
+    @_carry_out.register
+    def _(self, command: Serve) -> None:
+        names = ", ".join(f"{w.name} {w.version}" for w in command.weights)
+        self._node.log.info("Serving {}.", names)
+        self._node.send_status()
+
+    @_carry_out.register
+    def _(self, command: StopServing) -> None:
+        self._node.log.info("Not serving.")
+        self._node.table.refuse_waiting(Reason.SWITCHING, self._node.clock.now())
+        self._node.send_status()
+
+    def note_status(self, msg: Status) -> None:
+        """A peer's status may allow this agent to switch."""
+        if self.switch.state is SwitchState.READY_TO_SWITCH:
+            self.run(self._node.clock.now())
--- a/fescuechute/agent/_work.py
+++ b/fescuechute/agent/_work.py
@@ -19,7 +19,7 @@
 RETRY_AFTER_S = 0.2
 
 Request = Generate | Call
-WorkKey = tuple[str, str, int]
+WorkKey = str
 
 
 @attrs.define(eq=False)
@@ -41,7 +41,7 @@
     @property
     def key(self) -> WorkKey:
         """Identity of the attempt."""
-        return (self.peer_id, self.msg.request_id, self.msg.attempt)
+        return _key(self.peer_id, self.msg)
 
     @property
     def solo(self) -> bool:
@@ -151,7 +151,7 @@
 
     def cancel(self, peer_id: str, msg: Cancel, now: float) -> None:
         """Drops a request that its caller gave up."""
-        key = (peer_id, msg.request_id, msg.attempt)
+        key = _key(peer_id, msg)
         self._drop(key)
         row = self.running.get(key)
         if row is not None and self.executor is not None:
@@ -161,8 +161,8 @@
 
     def link_down(self, peer_id: str, now: float) -> None:
         """Drops the requests of an entry that is gone, except those that must be completed."""
-        for key in [key for key in self._waiting if key[0] == peer_id]:
-            self._drop(key)
+        for row in [row for row in self._waiting.values() if row.peer_id == peer_id]:
+            self._drop(row.key)
         if self._solo is not None and self._solo.peer_id == peer_id and self._solo_waits:
             self._solo = None
         for row in [row for row in self.running.values() if row.peer_id == peer_id]:
@@ -202,3 +202,7 @@
             self._queue.remove(key)
         if self._solo is not None and self._solo.key == key and self._solo_waits:
             self._solo = None
+
+
+def _key(peer_id: str, msg: Request | Cancel) -> WorkKey:
+    return f"{peer_id}/{msg.request_id}/{msg.attempt}"
--- a/fescuechute/net/_links.py
+++ b/fescuechute/net/_links.py
@@ -23,6 +23,8 @@
 #: Bounds of the reconnect backoff, in seconds.
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 2.0
+#: Seconds that the higher of two ids waits for the other side to dial.
+_YIELD_S = 0.5
 #: Bytes that may wait on one link. A peer that stops reading must not exhaust our memory.
 MAX_BUFFERED_BYTES = 16 << 20
 
@@ -89,12 +91,20 @@
             return
         target = self._targets.get(peer_id)
         if target is None or (target.address, target.port) != (address, port):
-            self._targets[peer_id] = _Target(address, port)
+            # When both sides want the link, the lower id dials first. Two connections at once
+            # would replace each other, possibly in a different order on each side.
+            waits = peer_id < self._identity.process_id
+            first = self._clock.now() + _YIELD_S if waits else 0.0
+            self._targets[peer_id] = _Target(address, port, first)
 
     def disconnect(self, peer_id: str) -> None:
         """Stops keeping a link to a peer; an open link stays until the peer closes it."""
         self._targets.pop(peer_id, None)
 
+    def wanted(self) -> set[str]:
+        """Returns the peers that links are kept to."""
+        return set(self._targets)
+
     def send(self, peer_id: str, msg: Message) -> bool:
         """Sends a message; False when there is no usable link."""
         row = self.links.get(peer_id)
