Serve requests end to end as separate processes

Found on the way and fixed: a read-back that met a loading engine was dropped for 2 s; agents that had not yet read the VM list each drew their own copy from the origin.

--- a/fescuechute/agent/_daemon.py
+++ b/fescuechute/agent/_daemon.py
@@ -8,14 +8,18 @@
 from fescuechute.admission import FairQueue
 from fescuechute.agent._engine import EngineExecutor
 from fescuechute.agent._service import ServiceExecutor
+from fescuechute.agent._status import status_page
 from fescuechute.agent._weights import WeightSystem
 from fescuechute.agent._work import WorkTable
-from fescuechute.errors import Reason
+from fescuechute.errors import Reason, RefusedError
 from fescuechute.net import HttpResult
 from fescuechute.node import Node, pair
 from fescuechute.routing import Verdict
 from fescuechute.settings import AgentSettings, Settings
+from fescuechute.web import CallerServer, HttpRequest, Responder
 
+#: Operators send no bodies.
+_MAX_BODY_BYTES = 1024
 #: Seconds between Status messages without a change.
 STATUS_EVERY_S = 0.5
 #: Links kept for notes and crash reports, besides those to agents of the same upstream.
@@ -53,6 +57,7 @@
             self.table.executor = self.service
         #: Last Status of each linked agent.
         self.peer_status: dict[str, wire.Status] = {}
+        self.web: CallerServer | None = None
         self._service_up = False
         self._probe_at = 0.0
         self._status_seq = 0
@@ -66,6 +71,27 @@
         """Boot id of the engine as last read."""
         return self.weights.boot_id if self.weights is not None else ""
 
+    def start(self) -> None:
+        """Opens the links and the operators' listener."""
+        super().start()
+        bind = (self.cfg.process.address, self.cfg.process.http_port)
+        self.web = CallerServer(bind, self._on_request, _MAX_BODY_BYTES, self.count)
+        self.web.register(self.loop)
+
+    def http_port(self) -> int:
+        """Port of the operators' listener."""
+        return self.web.port if self.web is not None else 0
+
+    def _on_request(self, http: HttpRequest, responder: Responder) -> None:
+        if http.method == "GET" and http.path == "/v1/status":
+            responder.send_json(200, status_page(self))
+        elif http.method == "GET" and http.path == "/healthz":
+            ready = self.notes.ready and not self.draining
+            responder.send_json(200 if ready else 503, {"ready": ready})
+        else:
+            found = f"{http.method} {http.path} does not exist."
+            responder.refuse(RefusedError(Reason.NOT_FOUND, found))
+
     def stop(self) -> None:
         """Announces the stop, completes what is in flight, then closes."""
         if self.draining:
@@ -112,9 +138,7 @@
             self.stop()
         wanted = {agent.id for agent in self.directory.agents(upstream=self.hello.upstream)}
         proc = self.cfg.process
-        wanted |= set(
-            self.directory.peers_for(own, GOSSIP_PEERS, proc.region, proc.data_centre)
-        )
+        wanted |= set(self.directory.peers_for(own, GOSSIP_PEERS, proc.region, proc.data_centre))
         for peer_id in wanted - {own}:
             peer = self.directory.row(peer_id)
             if peer is not None and peer.role == "agent":
@@ -239,7 +263,9 @@
             return Reason.QUARANTINED
         return None
 
-    def _state(self) -> str:
+    @property
+    def state(self) -> str:
+        """State for Status."""
         if self.draining:
             return "draining"
         if self.weights is not None:
@@ -252,7 +278,7 @@
             self._status_seq,
             self.hello.upstream,
             self.hello.kind,
-            self._state(),
+            self.state,
             len(self.table.running),
             self.table.queued,
             self.table.slots,
@@ -263,7 +289,7 @@
 
     def _status_key(self) -> tuple[object, ...]:
         """What entries must learn at once; the load alone may wait for the next period."""
-        return (self._state(), self.notes.ledger.state.revision)
+        return (self.state, self.notes.ledger.state.revision)
 
     def _probe(self, now: float) -> None:
         if now < self._probe_at:
--- a/fescuechute/agent/_weights.py
+++ b/fescuechute/agent/_weights.py
@@ -36,6 +36,11 @@
 
 #: Seconds without an answer from the engine to a short request.
 _SILENCE_S = 2.0
+#: Seconds between read-backs while the engine loads.
+_LOADING_POLL_S = 0.1
+#: Seconds to wait for the VM list to show this agent before fetching. Without the list every agent
+#: would take itself for the only one and draw its own copy from the origin.
+_LIST_WAIT_S = 5.0
 
 
 class WeightSystem:
@@ -52,7 +57,9 @@
         self._missing: set[bytes] = set()
         self._declared_revision = 0
         self._declared_at = 0.0
+        self._started_at = node.clock.now()
         self.boot_id = ""
+        self._newest_read = 0
 
     @property
     def state(self) -> str:
@@ -68,6 +75,18 @@
         """Confirmed (kind, name, version) triples that may be served."""
         return frozenset(weight.triple for weight in self.switch.serving or ())
 
+    def progress(self) -> dict[str, object]:
+        """Returns what the status page shows."""
+        return {
+            "declared": sorted((r.kind, r.name, r.version) for r in self._releases),
+            "serving": sorted(self.serving),
+            "switch": str(self.switch.state),
+            "missing": len(self._missing),
+            "held": len(self.exchange.store),
+            "held_bytes": self.exchange.store.bytes_held,
+            "in_flight": self.exchange.plan.in_flight,
+        }
+
     # Inputs.
 
     def notes_changed(self, now: float) -> None:
@@ -93,13 +112,18 @@
     def run(self, now: float) -> None:
         """Runs the exchange and the switch."""
         self.exchange.set_load(bool(self._node.table.running), now)
-        self.exchange.run(now)
+        if self._knows_others(now):
+            self.exchange.run(now)
         self.switch.blobs_ready(not self._missing)
         self.switch.running(len(self._node.table.running))
         self.switch.may_start(self._wave_allows(now))
         for command in self.switch.plan(now):
             self._carry_out(command)
 
+    def _knows_others(self, now: float) -> bool:
+        listed = self._node.directory.row(self._node.cfg.process.id) is not None
+        return listed or now >= self._started_at + _LIST_WAIT_S
+
     def set_agents(self) -> None:
         """Takes over the agents that want the same weights."""
         agents: dict[str, list[str]] = {}
@@ -125,7 +149,9 @@
             manifest = self._manifest(key, release)
             if manifest is not None:
                 digests += manifest.digests
-                weights.append(Weight(release.kind, release.name, release.version, manifest.digests))
+                weights.append(
+                    Weight(release.kind, release.name, release.version, manifest.digests)
+                )
         self.exchange.want(digests)
         self._missing = {digest for digest in digests if not self.exchange.store.has(digest)}
         if len(weights) == len(self._releases):
@@ -224,20 +250,33 @@
 
     @_carry_out.register
     def _(self, command: ReadBack) -> None:
-        def answered(result: HttpResult) -> None:
-            now = self._node.clock.now()
-            body = result.json() if result.ok else None
-            if isinstance(body, dict) and not body.get("loading"):
-                self.boot_id = str(body["boot_id"])
-                triples = [(w["kind"], w["name"], w["version"]) for w in body["weights"]]
-                fence, read_id = int(body["fence"]), command.read_id
-                self.switch.engine_state(self.boot_id, triples, fence, now, read_id)
-            elif not result.ok:
-                self._node.count("engine.unreachable")
-                self.switch.engine_lost(now)
-            self.run(now)
-
-        self._node.http.call("GET", self._engine, "/state", answered, silence_s=_SILENCE_S)
+        self._newest_read = command.read_id
+        self._read_back(command.read_id)
+
+    def _read_back(self, read_id: int) -> None:
+        if read_id == self._newest_read:
+            self._node.http.call(
+                "GET",
+                self._engine,
+                "/state",
+                lambda result: self._state_read(read_id, result),
+                silence_s=_SILENCE_S,
+            )
+
+    def _state_read(self, read_id: int, result: HttpResult) -> None:
+        now = self._node.clock.now()
+        body = result.json() if result.ok else None
+        if not isinstance(body, dict):
+            self._node.count("engine.unreachable")
+            self.switch.engine_lost(now)
+        elif body.get("loading"):
+            # The set is neither the old nor the new one until the load has ended.
+            self._node.loop.call_at(now + _LOADING_POLL_S, lambda: self._read_back(read_id))
+        else:
+            self.boot_id = str(body["boot_id"])
+            triples = [(w["kind"], w["name"], w["version"]) for w in body["weights"]]
+            self.switch.engine_state(self.boot_id, triples, int(body["fence"]), now, read_id)
+        self.run(now)
 
     @_carry_out.register
     def _(self, command: Drain) -> None:
--- a/fescuechute/agent/_work.py
+++ b/fescuechute/agent/_work.py
@@ -13,7 +13,7 @@
 from fescuechute.admission import FairQueue, QueuedItem
 from fescuechute.errors import Reason
 from fescuechute.net import HttpCall
-from fescuechute.wire import Call, Cancel, Generate, Refused
+from fescuechute.wire import Call, Cancel, Generate, Message, Refused
 
 #: Seconds after which a refused entry may try this agent again.
 RETRY_AFTER_S = 0.2
@@ -69,7 +69,7 @@
         self,
         slots: int,
         queue: FairQueue,
-        send: Callable[[str, object], bool],
+        send: Callable[[str, Message], bool],
         count: Callable[[str], None],
     ):
         self.slots = slots
--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -220,6 +220,12 @@
             return ScopeStatus(ScopeState.DONE, status.claim_id, outcome.status, outcome.body)
         return status
 
+    def known(self, scope: Scope) -> ScopeStatus:
+        """Returns the state of a scope for a caller that asks for the outcome of its key."""
+        view = self._partition(scope).view
+        held = view.claim(scope)
+        return self.lookup(scope, held.digest) if held is not None else ScopeStatus(ScopeState.FREE)
+
     # The system.
 
     def run(self, now: float) -> list[Command]:
--- a/fescuechute/claims/_view.py
+++ b/fescuechute/claims/_view.py
@@ -155,6 +155,12 @@
         held = row.holder if row else None
         return held.record.claim_id if held else None
 
+    def claim(self, scope: Scope) -> ClaimRecord | None:
+        """Returns the claim that holds a scope."""
+        row = self._scopes.get(scope)
+        held = row.holder if row else None
+        return held.record if held else None
+
     def outcome(self, scope: Scope) -> OutcomeRecord | None:
         """Returns the recorded outcome of a scope."""
         row = self._scopes.get(scope)
--- a/fescuechute/entry/_calls.py
+++ b/fescuechute/entry/_calls.py
@@ -7,7 +7,7 @@
 
 from blake3 import blake3
 
-from fescuechute.entry._http import Responder
+from fescuechute.web import Responder
 from fescuechute.entry._rows import CallRow, RequestRow
 from fescuechute.entry._validate import CallRequest
 from fescuechute.errors import Ran, Reason, RefusedError
--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -23,7 +23,7 @@
     partition,
 )
 from fescuechute.entry._rows import CallRow
-from fescuechute.errors import Ran, Reason, RefusedError
+from fescuechute.errors import Reason, RefusedError
 from fescuechute.net import HttpResult
 from fescuechute.node import pair
 
@@ -70,9 +70,7 @@
         self._rows[row.request_id] = row
         row.responder.on_gone = lambda: self._caller_gone(row)
         digest = content_digest(row.req.operation, row.req.arguments)
-        self._table.submit(
-            row.request_id, scope, digest, row.req.operation, now, row.deadline
-        )
+        self._table.submit(row.request_id, scope, digest, row.req.operation, now, row.deadline)
         self.run(now)
 
     def finished(self, request_id: str, status: int, body: str) -> None:
@@ -97,7 +95,7 @@
           RefusedError: If the key is malformed.
         """
         scope = Scope(workspace, service, Key.parse(key_text))
-        known = self._table.outcome(scope)
+        known = self._table.known(scope)
         if known.state is ScopeState.FREE:
             return {"state": "unused"}
         if known.state is ScopeState.DONE:
--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -10,7 +10,7 @@
 from fescuechute.entry._calls import CallSystem
 from fescuechute.entry._claims import ClaimSystem
 from fescuechute.entry._dispatch import Dispatcher
-from fescuechute.entry._http import CallerServer, HttpRequest, Responder
+from fescuechute.web import CallerServer, HttpRequest, Responder
 from fescuechute.entry._models import ModelSystem
 from fescuechute.entry._status import status_page
 from fescuechute.entry._upstreams import UpstreamTable
--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -6,7 +6,7 @@
 
 import blake3
 
-from fescuechute.entry._http import Responder
+from fescuechute.web import Responder
 from fescuechute.entry._rows import ModelRow, RequestRow
 from fescuechute.entry._upstreams import served_by
 from fescuechute.entry._validate import GenerateRequest
@@ -111,7 +111,9 @@
     def _check_declared(self, req: GenerateRequest) -> None:
         proc = self._node.cfg.process
         state = self._node.notes.ledger.state
-        declared = {(r.kind, r.name) for r in state.declared_for(req.model, proc.region, proc.data_centre)}
+        declared = {
+            (r.kind, r.name) for r in state.declared_for(req.model, proc.region, proc.data_centre)
+        }
         wanted = [("model", req.model, Reason.UNKNOWN_MODEL)]
         if req.adapter:
             wanted.append(("adapter", req.adapter, Reason.UNKNOWN_ADAPTER))
@@ -196,7 +198,7 @@
             whole = {"request_id": row.request_id, "text": row.assembly.text}
             row.responder.send_json(200, {**whole, "model": row.req.model, **end})
 
-    def _refuse(self, row: ModelRow, exc: RefusedError) -> None:
+    def _refuse(self, row: RequestRow, exc: RefusedError) -> None:
         self._node.dispatcher.finish(row)
         self._node.refused(row.responder, exc, row.request_id)
 
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fescuechute.entry._http import Responder
+from fescuechute.web import Responder
 from fescuechute.entry._validate import CallRequest, GenerateRequest
 from fescuechute.errors import Ran, Reason
 from fescuechute.streams import Assembly, Served
--- a/fescuechute/metrics/__init__.py
+++ b/fescuechute/metrics/__init__.py
@@ -1,1 +1,10 @@
-"""Placeholder docstring, replaced with the package."""
+"""Counters."""
+from collections import Counter
+
+
+class Metrics:
+    def __init__(self, address, prefix):
+        self.totals = Counter()
+
+    def count(self, name, n=1):
+        self.totals[name] += n
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -15,7 +15,7 @@
 from fescuechute.net import HttpClient, LinkHub, Loop, SystemClock
 from fescuechute.node._notes import NoteFollower
 from fescuechute.node._vms import VmListPoller
-from fescuechute.routing import CrashEvent, Quarantine
+from fescuechute.routing import Quarantine
 from fescuechute.settings import Address, Settings
 from fescuechute.wire import PROTOCOL_VERSION, Crash, Digest, Hello, Message, PullRecords, Records
 
@@ -55,7 +55,12 @@
         self.directory = Directory()
         self.quarantine = Quarantine()
         self.vms = VmListPoller(
-            pair(cfg.platform.vms), self.http, self.directory, self.clock, self.vms_changed, self.count
+            pair(cfg.platform.vms),
+            self.http,
+            self.directory,
+            self.clock,
+            self.vms_changed,
+            self.count,
         )
         self.notes = NoteFollower(
             pair(cfg.platform.log),
@@ -147,8 +152,8 @@
         self.log.debug("Link to {} is up.", peer_id)
         self.directory.observed_up(peer_id, hello.boot_id)
         self.notes.greet(peer_id)
-        for event in self.quarantine.events():
-            self.hub.send(peer_id, Crash(event.crash_id, event.fingerprints, event.at))
+        for crash in self.quarantine.events():
+            self.hub.send(peer_id, crash)
         self.on_link_up(peer_id, hello)
 
     def link_down(self, peer_id: str, reason: str) -> None:
@@ -191,8 +196,7 @@
 
     def report_crash(self, crash: Crash) -> None:
         """Merges a crash report and passes it on when it is new."""
-        event = CrashEvent(crash.crash_id, crash.fingerprints, crash.at)
-        if self.quarantine.merge(event, self.clock.now()):
+        if self.quarantine.merge(crash, self.clock.now()):
             self.log.warn("Crash {} of {} request(s).", crash.crash_id, len(crash.fingerprints))
             self.hub.broadcast(crash)
             self.quarantine_changed()
--- a/fescuechute/node/_notes.py
+++ b/fescuechute/node/_notes.py
@@ -11,9 +11,10 @@
 
 import msgpack
 
+from fescuechute.logs import part_logger
 from fescuechute.logstream import StreamView
 from fescuechute.net import Clock, HttpClient, HttpResult, LinkHub
-from fescuechute.notes import Ledger
+from fescuechute.notes import HistoryEntry, Ledger
 from fescuechute.wire import Digest, PullRecords, Records
 
 NOTES_STREAM = "notes"
@@ -47,6 +48,7 @@
         self._is_reader = is_reader
         self._on_change = on_change
         self._count = count
+        self._log = part_logger("notes")
         self._in_flight = False
         self._next_poll_at = 0.0
         self._next_digest_at = 0.0
@@ -108,11 +110,19 @@
     def _apply(self, first: int, records: list[dict[str, Any]], oldest: int) -> None:
         fresh = self.view.apply(first, records, oldest)
         for record in fresh:
-            self.ledger.apply(record)
+            for entry in self.ledger.apply(record):
+                self._report(entry)
         if fresh:
             self._push(fresh)
             self._on_change()
 
+    def _report(self, entry: HistoryEntry) -> None:
+        if entry.accepted:
+            self._log.info("Note {} is in force as revision {}.", entry.note_id, entry.revision)
+        else:
+            self._count("notes.rejected")
+            self._log.warn("Note {} is rejected: {}", entry.note_id, entry.reason)
+
     def _push(self, fresh: list[dict[str, Any]]) -> None:
         for peer_id in list(self._hub.links):
             self._send_since(peer_id, fresh[0]["offset"])
--- /dev/null
+++ b/fescuechute/web/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP towards callers and operators, on circuits.web."""
+
+from fescuechute.web._server import CallerServer, HttpRequest, Responder, error_body
+
+__all__ = ["CallerServer", "HttpRequest", "Responder", "error_body"]
--- a/fescuechute/entry/_http.py
+++ b/fescuechute/web/_server.py
@@ -134,7 +134,7 @@
     ):
         super().__init__()
         self._handle = handle
-        self._log = part_logger("entry")
+        self._log = part_logger("web")
         self._max_bytes = max_body_bytes + _MAX_HEAD_BYTES
         self._max_body_bytes = max_body_bytes
         self._count = count
@@ -195,7 +195,9 @@
         return True
 
     @handler("httperror", priority=10)
-    def _on_http_error(self, event: Event, req: Request, res: Response, *args: Any, **kwargs: Any) -> None:
+    def _on_http_error(
+        self, event: Event, req: Request, res: Response, *args: Any, **kwargs: Any
+    ) -> None:
         event.stop()
         self._received.pop(req.sock, None)
         self._open.pop(req.sock, None)
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -13,17 +13,24 @@
     start_vms,
     start_weights,
 )
+from tests.harness._system import Entry, Layout, Pool, Replica, System, read_lines
 from tests.harness._wait import poll, wait_until
 
 __all__ = [
     "ROOT",
+    "Entry",
     "Fleet",
     "HttpFailedError",
+    "Layout",
+    "Pool",
     "Process",
     "ProcessError",
+    "Replica",
+    "System",
     "http_bytes",
     "http_json",
     "poll",
+    "read_lines",
     "start_agent",
     "start_engine",
     "start_entry",
--- a/tests/entry/test_http.py
+++ b/tests/web/test_server.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fescuechute.entry._http import CallerServer
+from fescuechute.web import CallerServer
 from fescuechute.net import Loop, SystemClock
 
 MAX_BODY = 4096
