--- a/standins/_server.py
+++ b/standins/_server.py
@@ -26,13 +26,15 @@
     def __init__(self, **defaults: Any):
         self._defaults = defaults
         self.values: dict[str, Any] = dict(defaults)
-        #: Called with the newly set faults after each change.
-        self.on_set: Callable[[dict[str, Any]], None] | None = None
+        #: Allowed values by fault, for those that allow only some.
+        self.choices: dict[str, tuple[Any, ...]] = {}
+        #: Called with the newly set faults; the answer to the change waits for it.
+        self.on_set: Callable[[dict[str, Any]], Awaitable[None]] | None = None
 
     def __getitem__(self, name: str) -> Any:
         return self.values[name]
 
-    def set(self, changes: object) -> dict[str, Any]:
+    async def set(self, changes: object) -> dict[str, Any]:
         """Sets faults; None restores the default.
 
         Raises:
@@ -43,7 +45,7 @@
         checked = {name: self._checked(name, value) for name, value in changes.items()}
         self.values.update(checked)
         if self.on_set is not None:
-            self.on_set(checked)
+            await self.on_set(checked)
         return self.values
 
     def take(self, name: str) -> bool:
@@ -64,6 +66,8 @@
             return float(value)
         if type(value) is not kind:
             raise ValueError(f"fault {name!r} takes a value of type {kind.__name__}")
+        if name in self.choices and value not in self.choices[name]:
+            raise ValueError(f"fault {name!r} takes one of {', '.join(self.choices[name])}")
         return value
 
 
@@ -136,7 +140,7 @@
 
     async def post_faults(request: web.Request) -> web.Response:
         try:
-            return web.json_response(faults.set(await read_object(request)))
+            return web.json_response(await faults.set(await read_object(request)))
         except ValueError as exc:
             return error(400, str(exc))
 
@@ -148,10 +152,13 @@
     return app
 
 
-def make_parser(description: str | None) -> argparse.ArgumentParser:
+def make_parser(description: str | None, *, port: bool = True) -> argparse.ArgumentParser:
     """Returns a parser with the options that all stand-ins have."""
-    parser = argparse.ArgumentParser(description=description)
-    parser.add_argument("--port", type=int, default=0, help="0 lets the system choose")
+    parser = argparse.ArgumentParser(
+        description=description, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    if port:
+        parser.add_argument("--port", type=int, default=0, help="0 lets the system choose")
     return parser
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -84,7 +84,7 @@
             self._history_file.write(json.dumps({"boot_id": self._boot_id} | record) + "\n")
             self._history_file.flush()
 
-    def _faults_set(self, changes: dict[str, Any]) -> None:
+    async def _faults_set(self, changes: dict[str, Any]) -> None:
         if changes.get("crash_now"):
             # The answer to the order to crash still goes out.
             asyncio.get_running_loop().call_later(0.02, os._exit, CRASH_CODE)
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -24,6 +24,8 @@
     run,
 )
 
+#: Seconds of unused link time that a late timer may still use, so that timers cost no rate.
+CATCH_UP_S = 0.002
 #: Bytes sent in one turn; concurrent responses take turns on the shared link.
 PIECE_BYTES = 16 << 10
 
@@ -39,8 +41,8 @@
         if bytes_per_s <= 0:
             return
         now = time.monotonic()
-        self._free_at = max(now, self._free_at) + size / bytes_per_s
-        await asyncio.sleep(self._free_at - now)
+        self._free_at = max(now - CATCH_UP_S, self._free_at) + size / bytes_per_s
+        await asyncio.sleep(max(0.0, self._free_at - now))
 
 
 class BlobServer:
