--- a/standins/_batch.py
+++ b/standins/_batch.py
@@ -118,6 +118,8 @@
         if index < job.max_tokens:
             token = token_at(job.seed, index)
             job.tokens.append(token)
+            if job.record is not None:
+                job.record["tokens"] = index + 1
             job.lines.put_nowait({"i": index, "t": token})
         if len(job.tokens) >= job.max_tokens:
             version, adapter_version = job.versions
