--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,8 +1,8 @@
-"""Fault-injecting TCP proxy that plays one link with all its connections.
+"""Fault-injecting TCP proxy that stands for one link with all its connections.
 
 One process may listen for several targets; all share the link. `up` is the direction from the
 callers to the targets. A target added with `"reverse": true` lies at the near end of the link: its
-callers send `down`. So one process plays the link between two regions, whoever dials.
+callers send `down`. So one process stands for the link between two regions, whichever of them dials.
 
 Faults: `delay_s` (one way), `bytes_per_s` (each way, all connections together), `cut` (`up`, `down`
 or `both`: bytes and ends of that direction are lost; a connection that lost any stays silent in
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -1,4 +1,4 @@
-"""Blob server that plays the weight store or the origin of weights.
+"""Blob server, used as the weight store and as the origin of weights.
 
 Faults: `down`, `slow` (seconds before each answer), `corrupt_every_n` (one byte of every nth
 response is changed), `lose_answers` (the next n requests take effect without an answer),
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -4,6 +4,8 @@
 from tests.harness._http import HttpFailedError, http_bytes, http_json
 from tests.harness._settings import to_toml, write_settings
 from tests.harness._standins import (
+    add_target,
+    set_faults,
     start_agent,
     start_engine,
     start_entry,
@@ -21,9 +23,11 @@
     "HttpFailedError",
     "Process",
     "ProcessError",
+    "add_target",
     "http_bytes",
     "http_json",
     "poll",
+    "set_faults",
     "start_agent",
     "start_engine",
     "start_entry",
--- a/tests/harness/_standins.py
+++ b/tests/harness/_standins.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from tests.harness._fleet import Fleet, Process
+from tests.harness._http import http_json
 
 
 def _start(fleet: Fleet, module: str, name: str, options: dict[str, Any]) -> Process:
@@ -62,6 +63,34 @@
     return _start(fleet, "proxy", name, options)
 
 
+def set_faults(port: int, **faults: Any) -> dict[str, Any]:
+    """Sets faults of a stand-in and returns all that are set now.
+
+    Args:
+      port: The stand-in's port; for a proxy its control port.
+      faults: Values by name; None restores the default.
+
+    Raises:
+      ValueError: The stand-in does not know a fault or its value.
+    """
+    status, answer = http_json("POST", port, "/faults", faults)
+    if status != 200:
+        raise ValueError(answer["error"])
+    return dict(answer)
+
+
+def add_target(proxy: Process, target_port: int, *, reverse: bool = False) -> int:
+    """Lets a proxy listen for one more target on the same link; returns the new port.
+
+    Args:
+      proxy: The proxy.
+      target_port: Port of the target.
+      reverse: The callers send in the direction `down`.
+    """
+    body = {"target": f"127.0.0.1:{target_port}", "reverse": reverse}
+    return int(http_json("POST", proxy.control_port, "/targets", body)[1]["port"])
+
+
 def _start_daemon(fleet: Fleet, role: str, settings: Path, name: str) -> Process:
     argv = [sys.executable, "-m", "fescuechute", role, "--config", str(settings)]
     return fleet.spawn(argv, name or settings.stem)
--- a/tests/standins/engine_calls.py
+++ b/tests/standins/engine_calls.py
@@ -32,10 +32,6 @@
     return http_bytes("PUT", port, f"/staging/{blake3(blob).hexdigest()}", blob)[0]
 
 
-def set_faults(port, **faults):
-    assert http_json("POST", port, "/faults", faults)[0] == 200
-
-
 def load(port, *weights, **kwargs):
     assert stage(port) == 200
     assert order(port, *weights, **kwargs)[0] == 200
--- a/tests/standins/test_harness.py
+++ b/tests/standins/test_harness.py
@@ -81,8 +81,8 @@
 def test_wait_until_names_what_did_not_happen():
     """A timeout without its condition cannot be understood from a log."""
     started = time.monotonic()
-    with pytest.raises(AssertionError, match=r"the moon: not within 0.1 s .* last value 0"):
-        wait_until(lambda: 0, 0.1, "the moon")
+    with pytest.raises(AssertionError, match=r"the answer: not within 0.1 s .* last value 0"):
+        wait_until(lambda: 0, 0.1, "the answer")
     assert time.monotonic() - started < 1
 
 
--- a/tests/standins/test_standin_engine.py
+++ b/tests/standins/test_standin_engine.py
@@ -6,10 +6,10 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from engine_calls import generate, history, item, load, request, running, set_faults, state, tokens
+from engine_calls import generate, history, item, load, request, running, state, tokens
 
 from standins.answers import expected_tokens, text_digest
-from tests.harness import HttpFailedError, http_json, start_engine, wait_until
+from tests.harness import HttpFailedError, http_json, set_faults, start_engine, wait_until
 
 
 @pytest.fixture
--- a/tests/standins/test_standin_engine_weights.py
+++ b/tests/standins/test_standin_engine_weights.py
@@ -1,4 +1,4 @@
-"""Weights of the engine stand-in: guards against an engine that covers up for its agent."""
+"""Weights of the engine stand-in: guards against an engine that hides mistakes of its agent."""
 
 import json
 import time
@@ -16,14 +16,13 @@
     order,
     request,
     running,
-    set_faults,
     stage,
     state,
     tokens,
 )
 
 from standins.answers import expected_tokens
-from tests.harness import http_bytes, http_json, start_engine, wait_until
+from tests.harness import http_bytes, http_json, set_faults, start_engine, wait_until
 
 LONG_PROMPT = "p" * 640
 
@@ -152,7 +151,7 @@
 
 
 def test_cache_events_come_late_and_with_gaps(fleet):
-    """A router that trusts every event must be found out."""
+    """A router that relies on every event must fail in tests."""
     port = start_engine(fleet, cache_event_lag_s=0.4, cache_event_gap_every=5).port
     load(port, item("m"))
     generate(port, prompt=LONG_PROMPT)
--- a/tests/standins/test_standin_log.py
+++ b/tests/standins/test_standin_log.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.harness import HttpFailedError, http_json, start_log
+from tests.harness import HttpFailedError, http_json, set_faults, start_log
 
 
 def append(port, *ids, stream="notes"):
@@ -14,12 +14,6 @@
     return http_json("GET", port, f"/streams/{stream}/records{query}")
 
 
-def set_faults(port, **faults):
-    status, current = http_json("POST", port, "/faults", faults)
-    assert status == 200
-    return current
-
-
 def ids(answer):
     return [record["id"] for record in answer[1]["records"]]
 
--- a/tests/standins/test_standin_proxy.py
+++ b/tests/standins/test_standin_proxy.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.harness import http_json, start_proxy, wait_until
+from tests.harness import add_target, http_json, set_faults, start_proxy, wait_until
 
 #: Seconds without bytes that count as silence.
 SILENT_S = 0.4
@@ -56,7 +56,7 @@
         return sock
 
     def faults(self, **faults):
-        assert http_json("POST", self.proxy.control_port, "/faults", faults)[0] == 200
+        set_faults(self.proxy.control_port, **faults)
 
     def stats(self):
         return http_json("GET", self.proxy.control_port, "/stats")[1]
@@ -267,9 +267,7 @@
 
 def test_added_targets_share_the_link_in_both_directions(link):
     """Both regions dial across one link, so `up` must mean the same way for both."""
-    body = {"target": f"127.0.0.1:{link.echo.port}", "reverse": True}
-    port = http_json("POST", link.proxy.control_port, "/targets", body)[1]["port"]
-    sock = link.connect(port=port)
+    sock = link.connect(port=add_target(link.proxy, link.echo.port, reverse=True))
     round_trip(sock)
     link.faults(cut="down")
     link.echo.received.clear()
@@ -280,5 +278,5 @@
 
 def test_unknown_direction_of_a_cut_is_refused(link):
     """A misspelled direction must not pass as a test of a partition."""
-    answer = http_json("POST", link.proxy.control_port, "/faults", {"cut": "left"})
-    assert answer[0] == 400 and "both" in answer[1]["error"]
+    with pytest.raises(ValueError, match="both, up, down, none"):
+        link.faults(cut="left")
--- a/tests/standins/test_standin_service.py
+++ b/tests/standins/test_standin_service.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.harness import HttpFailedError, http_json, start_service, wait_until
+from tests.harness import HttpFailedError, http_json, set_faults, start_service, wait_until
 
 
 def operate(port, key="k", **body):
@@ -17,10 +17,6 @@
     return http_json("GET", port, "/executions")[1]
 
 
-def set_faults(port, **faults):
-    assert http_json("POST", port, "/faults", faults)[0] == 200
-
-
 @pytest.fixture
 def port(fleet):
     return start_service(fleet).port
--- a/tests/standins/test_standin_weights.py
+++ b/tests/standins/test_standin_weights.py
@@ -6,7 +6,7 @@
 import pytest
 from blake3 import blake3
 
-from tests.harness import HttpFailedError, http_bytes, http_json, start_weights
+from tests.harness import HttpFailedError, http_bytes, http_json, set_faults, start_weights
 
 BLOB = bytes(range(256)) * 1000
 HEX = blake3(BLOB).hexdigest()
@@ -23,10 +23,6 @@
     return http_bytes("GET", port, f"/blobs/{HEX}")
 
 
-def set_faults(port, **faults):
-    assert http_json("POST", port, "/faults", faults)[0] == 200
-
-
 def test_blobs_are_checked_counted_and_returned(port):
     """The figures on origin bytes come from these counts."""
     assert http_bytes("PUT", port, f"/blobs/{HEX}", BLOB[:-1])[0] == 422
