--- a/fescuechute/__main__.py
+++ b/fescuechute/__main__.py
@@ -1,12 +1,13 @@
-"""Runs the command line."""
+"""Runs a daemon: `python -m fescuechute ROLE --config FILE`."""
+
 import sys
-from fescuechute.settings import load_settings
+
+from fescuechute.agent import AgentDaemon
+from fescuechute.entry import EntryDaemon
 from fescuechute.logs import setup
+from fescuechute.settings import load_settings
 
 role, cfg = sys.argv[1], load_settings(sys.argv[3])
 setup(cfg.logs.level, cfg.logs.format)
-if role == "entry":
-    from fescuechute.entry import EntryDaemon as D
-else:
-    from fescuechute.agent import AgentDaemon as D
-D(cfg).run()
+daemon = EntryDaemon(cfg) if role == "entry" else AgentDaemon(cfg)
+daemon.run()
--- a/fescuechute/entry/_calls.py
+++ b/fescuechute/entry/_calls.py
@@ -7,11 +7,11 @@
 
 from blake3 import blake3
 
-from fescuechute.web import Responder
 from fescuechute.entry._rows import CallRow, RequestRow
 from fescuechute.entry._validate import CallRequest
 from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.routing import UpstreamRow, backoff_at
+from fescuechute.web import Responder
 from fescuechute.wire import Call, End, Failed, Message, Piece
 
 if TYPE_CHECKING:
--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -10,7 +10,6 @@
 from fescuechute.entry._calls import CallSystem
 from fescuechute.entry._claims import ClaimSystem
 from fescuechute.entry._dispatch import Dispatcher
-from fescuechute.web import CallerServer, HttpRequest, Responder
 from fescuechute.entry._models import ModelSystem
 from fescuechute.entry._status import status_page
 from fescuechute.entry._upstreams import UpstreamTable
@@ -19,6 +18,7 @@
 from fescuechute.node import Node
 from fescuechute.routing import Policy, RetryBudget
 from fescuechute.settings import Settings
+from fescuechute.web import CallerServer, HttpRequest, Responder
 
 #: Seconds without a new request before a draining entry closes. A connection accepted just before
 #: would otherwise be reset with a request in it.
--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -6,13 +6,13 @@
 
 import blake3
 
-from fescuechute.web import Responder
 from fescuechute.entry._rows import ModelRow, RequestRow
 from fescuechute.entry._upstreams import served_by
 from fescuechute.entry._validate import GenerateRequest
 from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.routing import UpstreamRow, Verdict, backoff_at, prefix_fingerprints
 from fescuechute.streams import Assembly, can_restart, can_resume
+from fescuechute.web import Responder
 from fescuechute.wire import End, Failed, Generate, Message, Piece
 
 if TYPE_CHECKING:
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from fescuechute.web import Responder
 from fescuechute.entry._validate import CallRequest, GenerateRequest
 from fescuechute.errors import Ran, Reason
 from fescuechute.streams import Assembly, Served
+from fescuechute.web import Responder
 from fescuechute.wire import End, Failed, Piece
 
 
--- a/fescuechute/metrics/__init__.py
+++ b/fescuechute/metrics/__init__.py
@@ -1,10 +1,16 @@
-"""Counters."""
+"""Counters of a process."""
+
+from __future__ import annotations
+
 from collections import Counter
 
 
 class Metrics:
-    def __init__(self, address, prefix):
-        self.totals = Counter()
+    """Totals in memory."""
+
+    def __init__(self, address: tuple[str, int] | None, prefix: str):
+        self.totals: Counter[str] = Counter()
 
-    def count(self, name, n=1):
+    def count(self, name: str, n: int = 1) -> None:
+        """Adds to a counter."""
         self.totals[name] += n
--- a/tests/harness/_system.py
+++ b/tests/harness/_system.py
@@ -50,9 +50,7 @@
     entries: int = 1
     workspaces: tuple[str, ...] = ("w1", "w2", "w3")
     #: Non-repeatable operations by service; every service also has `lookup`.
-    non_repeatable: dict[str, tuple[str, ...]] = attrs.field(
-        factory=lambda: {"booking": ("book",)}
-    )
+    non_repeatable: dict[str, tuple[str, ...]] = attrs.field(factory=lambda: {"booking": ("book",)})
     slots: int = 4
     engine_options: dict[str, Any] = attrs.field(factory=dict)
     service_options: dict[str, Any] = attrs.field(factory=dict)
@@ -220,13 +218,17 @@
                 http_bytes("PUT", server.port, f"/blobs/{digest}", blob)
         return {"manifest": blake3(manifest).hexdigest(), "size": size}
 
-    def release(self, name: str, version: str, size: int = 1 << 20, **fields: Any) -> dict[str, Any]:
+    def release(
+        self, name: str, version: str, size: int = 1 << 20, **fields: Any
+    ) -> dict[str, Any]:
         """Uploads weights and returns the release for a note."""
         uploaded = self.upload_weights(name, version, size)
         shown = {"kind": "model", "name": name, "version": version, **uploaded}
         return {**shown, "places": ["*"], "workspaces": ["*"], **fields}
 
-    def publish(self, releases: list[dict[str, Any]], base: int | None = None, **fields: Any) -> str:
+    def publish(
+        self, releases: list[dict[str, Any]], base: int | None = None, **fields: Any
+    ) -> str:
         """Appends a note to the log and returns its id."""
         note_id = f"note-{secrets.token_hex(6)}"
         note = {
@@ -253,7 +255,9 @@
         _, body = http_json("GET", port, "/v1/status")
         return body
 
-    def confirmed(self, version: str, upstream: str = "assistant", entry: Entry | None = None) -> int:
+    def confirmed(
+        self, version: str, upstream: str = "assistant", entry: Entry | None = None
+    ) -> int:
         """Returns how many replicas of an upstream an entry sees serving exactly a version."""
         rows = self.status(entry)["upstreams"]
         wanted = [["model", upstream, version]]
@@ -282,11 +286,13 @@
         services = {pool.upstream for pool in self.layout.pools if pool.kind == "service"}
         for entry in self.entries:
             wait_until(
-                lambda entry=entry: sum(
-                    row["state"] == "live" and row["linked"] and row["upstream"] in services
-                    for row in self.status(entry)["upstreams"]
-                )
-                >= wanted,
+                lambda entry=entry: (
+                    sum(
+                        row["state"] == "live" and row["linked"] and row["upstream"] in services
+                        for row in self.status(entry)["upstreams"]
+                    )
+                    >= wanted
+                ),
                 deadline_s,
                 f"{wanted} service replicas at {entry.entry_id}",
             )
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -75,9 +75,7 @@
         if replica.pool.kind == "service":
             executions += http_json("GET", replica.upstream.port, "/executions")[1].get(key, 0)
     assert executions == 1
-    _, known = http_json(
-        "GET", system.entries[0].port, f"/v1/outcomes/booking/{key}?workspace=w1"
-    )
+    _, known = http_json("GET", system.entries[0].port, f"/v1/outcomes/booking/{key}?workspace=w1")
     assert known["state"] == "done"
 
 
@@ -125,9 +123,7 @@
         "deadline_in_past",
         id="deadline_in_past",
     ),
-    pytest.param(
-        "/v1/generate", generate(max_tokens=0), 400, "malformed_request", id="no_tokens"
-    ),
+    pytest.param("/v1/generate", generate(max_tokens=0), 400, "malformed_request", id="no_tokens"),
     pytest.param(
         "/v1/generate", generate(prompt="x" * 2_000_000), 413, "body_too_large", id="too_large"
     ),
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from fescuechute.web import CallerServer
 from fescuechute.net import Loop, SystemClock
+from fescuechute.web import CallerServer
 
 MAX_BODY = 4096
 
