--- a/fescuechute/claims/_calls.py
+++ b/fescuechute/claims/_calls.py
@@ -43,5 +43,7 @@
     claim_id: str = ""
     #: Offset of the claim once it is known.
     offset: int | None = None
+    #: Another claim, whose call may have run, held the scope when the log last told.
+    blocked: bool = False
     #: The caller was answered or went away; only the outcome is still awaited.
     closed: bool = False
--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -11,7 +11,7 @@
 from fescuechute.claims._partition import PartitionRow
 from fescuechute.claims._records import ClaimRecord, OutcomeRecord, ReleaseRecord
 from fescuechute.claims._settings import ClaimSettings
-from fescuechute.claims._view import ScopeState, ScopeStatus
+from fescuechute.claims._view import ClaimsView, ScopeState, ScopeStatus
 from fescuechute.errors import Ran, Reason, RefusedError
 
 
@@ -71,11 +71,6 @@
         if call_id in self._rows:
             raise ValueError(f"The call id {call_id} is in use.")
         self._now = now
-        try:
-            check_age(scope.key, now, self._cfg.window_s, self._cfg.skew_s)
-        except RefusedError as exc:
-            self._out.append(Refuse(call_id, exc.reason, Ran.NOT_RUN))
-            return
         self._rows[call_id] = CallRow(call_id, scope, digest, operation, deadline)
 
     def caller_gone(self, call_id: str) -> None:
@@ -211,9 +206,13 @@
         """Number of records that are not yet in the log as far as this process knows."""
         return sum(len(row.queue) for row in self._partitions)
 
+    def view(self, scope: Scope) -> ClaimsView:
+        """Returns the fold of the partition of a scope."""
+        return self._partition(scope).view
+
     def lookup(self, scope: Scope, digest: str) -> ScopeStatus:
         """Returns the state of a scope, from the log and from results known here."""
-        status = self._partition(scope).view.status(scope, digest)
+        status = self.view(scope).status(scope, digest)
         known = self._outcomes.get(status.claim_id)
         if status.state is ScopeState.HELD and known is not None:
             outcome = known[1]
@@ -254,37 +253,43 @@
 
     def _step_unsent(self, row: CallRow) -> None:
         status = self.lookup(row.scope, row.digest)
-        blocked = self._blocks(status, row)
+        if not self._is_old(row.scope):
+            row.blocked = self._blocks(status, row)
         if status.state is ScopeState.DONE:
             self._close(row, Answer(row.call_id, status.status, status.body))
             self._withdraw(row)
         elif status.state is ScopeState.REUSED and status.claim_id not in self._releasing:
             self._refuse(row, Reason.KEY_REUSED)
         elif self._now >= row.deadline:
-            if blocked:
-                self._refuse(row, Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN)
-            else:
-                self._refuse(row, Reason.DEADLINE_PASSED)
+            self._refuse_late(row, Reason.DEADLINE_PASSED)
         elif self._may_send(row):
             row.state = CallState.SENDING
             self._out.append(Send(row.call_id, row.claim_id))
-        elif blocked:
+        elif self._is_old(row.scope):
+            self._refuse_late(row, Reason.KEY_EXPIRED)
+        elif row.blocked:
             return
-        elif not self._log_up:
-            self._refuse(row, Reason.LOG_UNAVAILABLE, retry=True)
         elif row.state is CallState.NEW:
             self._claim(row)
+        elif not self._log_up:
+            self._refuse(row, Reason.LOG_UNAVAILABLE, retry=True)
         else:
             self._check_claim(row)
 
     def _may_send(self, row: CallRow) -> bool:
-        view = self._partition(row.scope).view
+        view = self.view(row.scope)
         return row.state is CallState.CLAIMED and view.may_send(row.claim_id, row.scope)
 
     def _claim(self, row: CallRow) -> None:
         part = self._partition(row.scope)
-        if not part.view.complete_for(row.scope.key):
-            self._refuse(row, Reason.NOT_READY, retry=True)
+        try:
+            check_age(row.scope.key, self._now, self._cfg.window_s, self._cfg.skew_s)
+        except RefusedError as exc:
+            self._refuse(row, exc.reason)
+            return
+        if not self._log_up or not part.view.complete_for(row.scope.key):
+            reason = Reason.NOT_READY if self._log_up else Reason.LOG_UNAVAILABLE
+            self._refuse(row, reason, retry=True)
             return
         self._claims += 1
         row.claim_id = f"{self._holder}/{self._claims}"
@@ -294,7 +299,7 @@
 
     def _check_claim(self, row: CallRow) -> None:
         """Refuses a call whose claim was read back and cannot hold the scope."""
-        view = self._partition(row.scope).view
+        view = self.view(row.scope)
         if view.is_counted(row.claim_id):
             if not view.complete_for(row.scope.key):
                 self._refuse(row, Reason.NOT_READY, retry=True)
@@ -324,6 +329,12 @@
         self._close(row, Refuse(row.call_id, reason, ran, retry_at))
         self._remove(row)
 
+    def _refuse_late(self, row: CallRow, reason: Reason) -> None:
+        if row.blocked:
+            self._refuse(row, Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+        else:
+            self._refuse(row, reason)
+
     def _close(self, row: CallRow, command: Command) -> None:
         if not row.closed:
             row.closed = True
@@ -362,13 +373,13 @@
     def _forget_settled(self) -> None:
         """Drops results and releases that were read back, or whose key is too old to matter."""
         for claim_id, (scope, _) in list(self._outcomes.items()):
-            view = self._partition(scope).view
+            view = self.view(scope)
             if view.outcome(scope) is not None or self._is_old(scope):
                 del self._outcomes[claim_id]
         for claim_id, scope in list(self._releasing.items()):
-            if self._partition(scope).view.is_released(claim_id) or self._is_old(scope):
+            if self.view(scope).is_released(claim_id) or self._is_old(scope):
                 del self._releasing[claim_id]
 
     def _is_old(self, scope: Scope) -> bool:
         horizon = scope.key.at + self._cfg.window_s + self._cfg.margin_s
-        return self._partition(scope).view.last_time > horizon
+        return self.view(scope).last_time > horizon
