--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and the demo. They start real processes; the library never does."""
--- /dev/null
+++ b/bench/_load.py
@@ -0,0 +1,228 @@
+"""Load: callers of a running system, and what each of them saw.
+
+Every answer is compared with what the engine stand-in must have produced for that request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+
+from standins.answers import expected_tokens
+
+#: Seconds that a caller waits beyond its deadline before it counts its request as lost.
+GRACE_S = 5.0
+
+
+@attrs.define
+class Seen:
+    """What one caller saw of one request. Times are unix seconds."""
+
+    kind: str
+    rank: str
+    workspace: str
+    sent_at: float
+    deadline: float
+    first_at: float = 0.0
+    ended_at: float = 0.0
+    #: `answered`, a refusal reason, `lost`, or `wrong`.
+    outcome: str = "lost"
+    #: `not_run`, `partial` or `unknown` for refusals.
+    ran: str = ""
+    version: str = ""
+    tokens: int = 0
+    request_id: str = ""
+    key: str = ""
+    entry: int = 0
+    detail: str = ""
+
+    @property
+    def in_time(self) -> bool:
+        """Whether a whole answer came before the deadline."""
+        return self.outcome == "answered" and self.ended_at <= self.deadline
+
+
+@attrs.define
+class Load:
+    """Sends requests to entries and keeps what callers saw."""
+
+    ports: Sequence[int]
+    seed: int = 1
+    model: str = "assistant"
+    rows: list[Seen] = attrs.field(factory=list)
+    _session: aiohttp.ClientSession | None = None
+    _tasks: set[asyncio.Task[Seen]] = attrs.field(factory=set)
+    _rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._rng = random.Random(self.seed)
+
+    async def __aenter__(self) -> Load:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), timeout=aiohttp.ClientTimeout(total=None)
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.settle()
+        assert self._session is not None
+        await self._session.close()
+
+    async def settle(self) -> None:
+        """Waits until every request has ended."""
+        while self._tasks:
+            await asyncio.gather(*list(self._tasks), return_exceptions=True)
+
+    def spawn(self, request: Any) -> None:
+        """Runs a request in the background."""
+        task = asyncio.create_task(request)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def poisson(
+        self, rate_per_s: float, until: float, make: Callable[[random.Random], Any]
+    ) -> None:
+        """Starts requests with exponential gaps until a unix time."""
+        at = time.time()
+        while at < until:
+            at += self._rng.expovariate(rate_per_s)
+            await asyncio.sleep(max(0.0, at - time.time()))
+            self.spawn(make(self._rng))
+
+    async def generate(
+        self,
+        rank: str = "ordinary",
+        workspace: str = "w1",
+        prompt: str = "",
+        max_tokens: int = 20,
+        stream: bool = True,
+        timeout_s: float = 10.0,
+        entry: int | None = None,
+    ) -> Seen:
+        """Sends a model request and checks its answer."""
+        now = time.time()
+        seen = Seen("generate", rank, workspace, now, now + timeout_s)
+        self.rows.append(seen)
+        prompt = prompt or f"prompt {secrets.token_hex(8)}"
+        body = {
+            "workspace": workspace,
+            "rank": rank,
+            "model": self.model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+            "deadline_unix_ms": int(seen.deadline * 1000),
+        }
+        try:
+            async with asyncio.timeout(timeout_s + GRACE_S):
+                async with self._post(seen, "/v1/generate", body, entry) as res:
+                    text = await self._read_answer(seen, res)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            seen.detail = repr(exc)
+            text = None
+        seen.ended_at = time.time()
+        if text is not None:
+            wanted = expected_tokens(self.model, seen.version, "", "", prompt, max_tokens)
+            right = text == "".join(wanted)
+            seen.outcome = "answered" if right else "wrong"
+            seen.tokens = max_tokens
+        return seen
+
+    async def call(
+        self,
+        service: str,
+        operation: str,
+        key: str = "",
+        rank: str = "ordinary",
+        workspace: str = "w1",
+        arguments: dict[str, Any] | None = None,
+        timeout_s: float = 10.0,
+        entry: int | None = None,
+    ) -> Seen:
+        """Sends a service call."""
+        now = time.time()
+        seen = Seen("call", rank, workspace, now, now + timeout_s, key=key)
+        self.rows.append(seen)
+        body: dict[str, Any] = {
+            "workspace": workspace,
+            "rank": rank,
+            "service": service,
+            "operation": operation,
+            "arguments": arguments or {},
+            "deadline_unix_ms": int(seen.deadline * 1000),
+        }
+        if key:
+            body["idempotency_key"] = key
+        try:
+            async with asyncio.timeout(timeout_s + GRACE_S):
+                async with self._post(seen, "/v1/call", body, entry) as res:
+                    answer = json.loads(await res.read())
+                    if res.status == 200:
+                        seen.outcome = "answered"
+                        seen.detail = json.dumps(answer.get("result"), sort_keys=True)
+                    else:
+                        _refused(seen, answer)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            seen.detail = repr(exc)
+        seen.ended_at = time.time()
+        return seen
+
+    def _post(self, seen: Seen, path: str, body: dict[str, Any], entry: int | None) -> Any:
+        assert self._session is not None
+        seen.entry = self._rng.randrange(len(self.ports)) if entry is None else entry
+        port = self.ports[seen.entry]
+        return self._session.post(f"http://127.0.0.1:{port}{path}", json=body)
+
+    async def _read_answer(self, seen: Seen, res: aiohttp.ClientResponse) -> str | None:
+        if res.status != 200 or res.content_type != "application/x-ndjson":
+            answer = json.loads(await res.read())
+            seen.first_at = time.time()
+            if res.status != 200:
+                _refused(seen, answer)
+                return None
+            seen.version, seen.request_id = answer["version"], answer["request_id"]
+            return str(answer["text"])
+        parts: list[str] = []
+        async for line in res.content:
+            item = json.loads(line)
+            if "error" in item:
+                _refused(seen, item)
+                return None
+            if item.get("end"):
+                seen.version, seen.request_id = item["version"], item["request_id"]
+                return "".join(parts)
+            seen.first_at = seen.first_at or time.time()
+            parts.append(item["text"])
+        seen.detail = "the stream has no end"
+        return None
+
+
+def new_key(label: str = "key") -> str:
+    """Returns an idempotency key of the present time."""
+    return f"{int(time.time() * 1000)}-{label}_{secrets.token_hex(6)}"
+
+
+def outcomes(rows: Sequence[Seen]) -> Counter[str]:
+    """Counts outcomes."""
+    return Counter(row.outcome for row in rows)
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Returns a percentile by the nearest rank, 0.0 for no values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def _refused(seen: Seen, answer: dict[str, Any]) -> None:
+    error = answer["error"]
+    seen.outcome, seen.ran = error["reason"], error["ran"]
+    seen.request_id, seen.detail = error["request_id"], error["message"]
