Write stream pieces of an answer directly to the caller's socket

Cause: each piece passed through about five circuits events; in a profile of an entry under 20 requests/s with 20 tokens each, dispatching events was the largest item. Excluded: frame decoding and JSON, each below a tenth of the time. Change: the head and the pieces of a stream are written at once; only the end goes through events. Before/after (254 requests, 40/s, 20 tokens each): entry processor time 2.02 s -> 1.10 s; first token p95 30.1 ms -> 15.1 ms.

--- a/fescuechute/web/_server.py
+++ b/fescuechute/web/_server.py
@@ -4,7 +4,7 @@
 
 import json
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl
@@ -46,8 +46,6 @@
         self._sock = sock
         self._res = res
         self._streaming = False
-        self._head_sent = False
-        self._before_head = b""
         #: False once the answer is complete or the caller is gone.
         self.is_open = True
         #: Called when the caller goes away before its answer is complete.
@@ -74,26 +72,19 @@
         if not self.is_open:
             return
         data = json.dumps(line).encode() + b"\n"
-        if self._head_sent:
-            self._server.fire(stream(self._res, data), _CHANNEL)
-            self._server.check_backlog(self._sock)
-            return
-        self._before_head += data
         if not self._streaming:
             self._streaming = True
-            self._res.status = 200
-            self._res.stream = True
-            self._res.headers["Content-Type"] = "application/x-ndjson"
-            self._res.body = self._first_piece()
-            self._server.fire(response(self._res), _CHANNEL)
+            self._server.send(self._sock, self._head())
+        if self._res.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._server.send(self._sock, data)
 
     def end(self) -> None:
         """Ends a stream."""
         if self.is_open:
             self.is_open = False
             self._server.finish(self._sock)
-            if self._head_sent:
-                self._server.fire(stream(self._res, None), _CHANNEL)
+            self._server.fire(stream(self._res, None), _CHANNEL)
 
     def refuse(self, exc: RefusedError, request_id: str = "") -> None:
         """Sends an error: as the answer, or as the last line of a stream."""
@@ -110,14 +101,16 @@
             self.is_open = False
             self.on_gone()
 
-    def _first_piece(self) -> Iterator[bytes]:
-        # circuits.web pulls pieces from the body while there is one. Lines pushed before the head
-        # was written go out as the first piece; after it they are events and keep their order.
-        # When the stream has already ended, the end of this generator ends the answer.
-        self._head_sent = True
-        if self.is_open:
-            self._res.body = None
-        yield self._before_head
+    def _head(self) -> bytes:
+        self._res.status = 200
+        self._res.stream = True
+        self._res.body = None
+        self._res.headers["Content-Type"] = "application/x-ndjson"
+        # An empty body would otherwise be announced with a length of 0.
+        self._res.headers["Transfer-Encoding"] = "chunked"
+        self._res.prepare()
+        del self._res.headers["Content-Length"]
+        return bytes(self._res) + bytes(self._res.headers)
 
 
 class CallerServer(BaseComponent):
@@ -158,12 +151,29 @@
         """Forgets a request whose answer was handed over."""
         self._open.pop(sock, None)
 
-    def check_backlog(self, sock: socket.socket) -> None:
-        """Drops a caller that does not read its stream."""
-        waiting = sum(map(len, self._web.server._buffers.get(sock, ())))
-        if waiting > _MAX_BUFFERED_BYTES:
-            self._count("callers.not_reading")
-            self._web.server._close(sock)
+    def send(self, sock: socket.socket, data: bytes) -> None:
+        """Sends part of a stream at once; what the kernel does not take is buffered.
+
+        The events of circuits.web cost about 0.2 ms for each piece, and an entry passes on tens of
+        thousands of pieces a second.
+        """
+        server = self._web.server
+        waiting = server._buffers.get(sock)
+        sent = 0
+        if not waiting:
+            try:
+                sent = sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                # The disconnect event follows and reports the caller as gone.
+                server._close(sock)
+                return
+        if sent < len(data):
+            server.write(sock, data[sent:])
+            if sum(map(len, server._buffers[sock])) > _MAX_BUFFERED_BYTES:
+                self._count("callers.not_reading")
+                server._close(sock)
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
