--- a/fescuechute/notes/_ledger.py
+++ b/fescuechute/notes/_ledger.py
@@ -68,6 +68,8 @@
       state: The state in force.
       history: Judged records, oldest first.
       next_offset: Offset of the next record to apply.
+      replay_from: Offset of the oldest record that a new reader needs, given the snapshots in the
+        log; 0 while there is none. Records from here on must not age out.
       has_base: Whether offset 0 or a usable snapshot was seen, so that `state` is meaningful.
     """
 
@@ -80,6 +82,7 @@
         self.state = ReleaseState()
         self.history: deque[HistoryEntry] = deque(maxlen=keep)
         self.next_offset = 0
+        self.replay_from = 0
         self.has_base = False
         self._keep = math.inf if keep is None else keep
         self._folded: OrderedDict[str, Folded] = OrderedDict()
@@ -219,6 +222,7 @@
             return []
         expected = self._replay(lambda item: item.offset <= snapshot.covers)
         if snapshot.state == expected:
+            self.replay_from = max(self.replay_from, snapshot.covers + 1)
             return []
         reason = (
             f"The snapshot of revision {snapshot.revision} disagrees with the notes up to offset "
@@ -232,6 +236,7 @@
         self.state = self._base = snapshot.state
         self._base_time = self._last_time = snapshot.time
         self._base_offset = snapshot.covers
+        self.replay_from = snapshot.covers + 1
         self._accepted.clear()
         self._folded = OrderedDict((folded.id, folded) for folded in snapshot.folded)
         entries = []
--- a/tests/notes/test_ledger.py
+++ b/tests/notes/test_ledger.py
@@ -223,3 +223,15 @@
     for ledger in (Ledger(), applied(*versions(1, first=5))):
         with pytest.raises(ValueError, match="snapshot"):
             ledger.snapshot()
+
+
+def test_replay_offset_follows_agreeing_snapshots_only():
+    """Trimming up to a wrong snapshot would leave new readers without a usable one."""
+    records = versions(4)
+    good, bad = applied(*records[:3]).snapshot(), applied(record(0, note("x"))).snapshot()
+    ledger = applied(*records)
+    assert ledger.replay_from == 0
+    ledger.apply(record(4, good, id="s1"))
+    ledger.apply(record(5, {**bad, "covers": 4}, id="s2"))
+    assert ledger.replay_from == 3
+    assert applied(records[3], record(4, good, id="s1")).replay_from == 3
