--- a/fescuechute/metrics/__init__.py
+++ b/fescuechute/metrics/__init__.py
@@ -1,1 +1,13 @@
-"""Placeholder docstring, replaced with the package."""
+"""Counters, gauges and timings, sent to statsd and kept in memory.
+
+Example:
+  >>> from fescuechute.metrics import Metrics
+  >>> metrics = Metrics(None, "fescuechute")
+  >>> metrics.count("refused.busy")
+  >>> metrics.totals
+  {'refused.busy': 1}
+"""
+
+from fescuechute.metrics._metrics import Metrics
+
+__all__ = ["Metrics"]
