--- a/fescuechute/__main__.py
+++ b/fescuechute/__main__.py
@@ -1,13 +1,8 @@
-"""Runs a daemon: `python -m fescuechute ROLE --config FILE`."""
+"""Runs the command line: `python -m fescuechute`."""
 
 import sys
 
-from fescuechute.agent import AgentDaemon
-from fescuechute.entry import EntryDaemon
-from fescuechute.logs import setup
-from fescuechute.settings import load_settings
+from fescuechute.cli import main
 
-role, cfg = sys.argv[1], load_settings(sys.argv[3])
-setup(cfg.logs.level, cfg.logs.format)
-daemon = EntryDaemon(cfg) if role == "entry" else AgentDaemon(cfg)
-daemon.run()
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fescuechute/logs/__init__.py
+++ b/fescuechute/logs/__init__.py
@@ -1,18 +1,12 @@
-"""Log lines with a fixed prefix for each part."""
+"""Log lines with a fixed prefix for each part of the system.
 
-from __future__ import annotations
+Example:
+  >>> import sys
+  >>> from fescuechute.logs import part_logger, setup
+  >>> setup("info", "json", sys.stderr)
+  >>> part_logger("entry").info("Listening on {}.", "127.0.0.1:8000")
+"""
 
-import sys
-from typing import TextIO
+from fescuechute.logs._setup import FORMATS, LEVELS, part_logger, setup
 
-import logbook
-
-
-def part_logger(name: str) -> logbook.Logger:
-    """Returns the logger of a part."""
-    return logbook.Logger(name)
-
-
-def setup(level: str, form: str, stream: TextIO = sys.stderr) -> None:
-    """Sends log lines to a stream."""
-    logbook.StreamHandler(stream, level=level.upper()).push_application()
+__all__ = ["FORMATS", "LEVELS", "part_logger", "setup"]
--- a/fescuechute/logstream/__init__.py
+++ b/fescuechute/logstream/__init__.py
@@ -1,29 +1,14 @@
-"""Ordered prefix of one log stream."""
+"""Ordered view of one log stream, fed by polls of the log and by pushes of other processes.
 
-from __future__ import annotations
+Example:
+  >>> from fescuechute.logstream import StreamView
+  >>> view = StreamView("notes")
+  >>> new = view.apply(0, [{"offset": 0, "time": 1.0, "id": "a", "data": {}}], oldest=0)
+  >>> len(new), view.next_offset, view.complete_since
+  (1, 1, -inf)
+"""
 
-from typing import Any
+from fescuechute.logstream._records import MAX_RECORD_BYTES, transportable
+from fescuechute.logstream._view import StreamView
 
-
-class StreamView:
-    """Records of one stream from `first` on."""
-
-    def __init__(self, stream: str):
-        self.first = 0
-        self.next_offset = 0
-        self._records: list[dict[str, Any]] = []
-
-    def apply(self, first: int, records: list[dict[str, Any]], oldest: int) -> list[dict[str, Any]]:
-        """Adds records that follow without a gap and returns the new ones."""
-        if not self._records and oldest > self.next_offset:
-            self.first = self.next_offset = oldest
-        fresh = [r for r in records if r["offset"] >= self.next_offset]
-        if not fresh or fresh[0]["offset"] != self.next_offset:
-            return []
-        self._records += fresh
-        self.next_offset = fresh[-1]["offset"] + 1
-        return fresh
-
-    def since(self, offset: int, limit: int) -> list[dict[str, Any]]:
-        """Returns records from an offset on."""
-        return [r for r in self._records if r["offset"] >= offset][:limit]
+__all__ = ["MAX_RECORD_BYTES", "StreamView", "transportable"]
--- a/fescuechute/metrics/__init__.py
+++ b/fescuechute/metrics/__init__.py
@@ -1,16 +1,13 @@
-"""Counters of a process."""
+"""Counters, gauges and timings, sent to statsd and kept in memory.
 
-from __future__ import annotations
+Example:
+  >>> from fescuechute.metrics import Metrics
+  >>> metrics = Metrics(None, "fescuechute")
+  >>> metrics.count("refused.busy")
+  >>> metrics.totals
+  {'refused.busy': 1}
+"""
 
-from collections import Counter
+from fescuechute.metrics._metrics import Metrics
 
-
-class Metrics:
-    """Totals in memory."""
-
-    def __init__(self, address: tuple[str, int] | None, prefix: str):
-        self.totals: Counter[str] = Counter()
-
-    def count(self, name: str, n: int = 1) -> None:
-        """Adds to a counter."""
-        self.totals[name] += n
+__all__ = ["Metrics"]
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -34,7 +34,7 @@
         self.clock = SystemClock()
         self.log = part_logger(cfg.process.role)
         statsd = cfg.metrics.statsd
-        self.metrics = Metrics(pair(statsd) if statsd else None, f"fescuechute.{cfg.process.role}")
+        self.metrics = Metrics(statsd, f"fescuechute.{cfg.process.role}")
         self.boot_id = secrets.token_hex(8)
         proc = cfg.process
         self.hello = Hello(
--- a/fescuechute/node/_notes.py
+++ b/fescuechute/node/_notes.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgpack
-
 from fescuechute.logs import part_logger
 from fescuechute.logstream import StreamView
 from fescuechute.net import Clock, HttpClient, HttpResult, LinkHub
@@ -75,8 +73,9 @@
 
     def on_digest(self, peer_id: str, msg: Digest) -> None:
         """Asks a peer that has read further for the missing records."""
-        if msg.next_offset > self.view.next_offset:
-            self._hub.send(peer_id, PullRecords(NOTES_STREAM, self.view.next_offset))
+        wanted = self.view.behind(msg.next_offset)
+        if wanted is not None:
+            self._hub.send(peer_id, PullRecords(NOTES_STREAM, wanted))
 
     def on_pull(self, peer_id: str, msg: PullRecords) -> None:
         """Answers a peer that is behind."""
@@ -103,12 +102,14 @@
             return
         records = body["records"]
         first = records[0]["offset"] if records else int(body["next"])
-        self._apply(first, records, int(body["first"]))
+        self._apply(first, records, int(body["first"]), float(body["now"]))
         if len(records) == _MAX_RECORDS:
             self._next_poll_at = 0.0
 
-    def _apply(self, first: int, records: list[dict[str, Any]], oldest: int) -> None:
-        fresh = self.view.apply(first, records, oldest)
+    def _apply(
+        self, first: int, records: list[dict[str, Any]], oldest: int, now: float | None = None
+    ) -> None:
+        fresh = self.view.apply(first, records, oldest, now)
         for record in fresh:
             for entry in self.ledger.apply(record):
                 self._report(entry)
@@ -128,14 +129,7 @@
             self._send_since(peer_id, fresh[0]["offset"])
 
     def _send_since(self, peer_id: str, offset: int) -> None:
-        records = self.view.since(offset, _MAX_RECORDS)
-        batch: list[dict[str, Any]] = []
-        size = 0
-        for record in records:
-            size += len(msgpack.packb(record))
-            if batch and size > _MAX_RECORDS_BYTES:
-                break
-            batch.append(record)
+        batch = self.view.since(offset, _MAX_RECORDS, _MAX_RECORDS_BYTES)
         if batch:
             first = batch[0]["offset"]
             self._hub.send(peer_id, Records(NOTES_STREAM, first, tuple(batch), self.view.first))
