--- a/fescuechute/admission/_queue.py
+++ b/fescuechute/admission/_queue.py
@@ -4,18 +4,21 @@
 
 import heapq
 import itertools
+from collections import OrderedDict
 from collections.abc import Iterator, Mapping, Sequence
 
 import attrs
 
 from fescuechute.admission._flows import RoundRobin
 from fescuechute.admission._items import QueuedItem
-from fescuechute.admission._shares import ShareAccount
+from fescuechute.admission._shares import ShareAccount, UsageRatio
 
 #: Default tokens that a workspace of weight 1 may serve in a turn; about one ordinary request.
 QUANTUM = 512.0
 #: Default bound on the items of one rank in one pool.
 MAX_ITEMS = 4096
+#: Items in flight whose charge is remembered; bounds the memory of an owner that reports no use.
+MAX_CHARGES = 16384
 
 
 @attrs.define(eq=False)
@@ -26,6 +29,17 @@
     account: ShareAccount
 
 
+@attrs.frozen
+class _Charge:
+    """What an item was charged when it was served."""
+
+    #: Tokens.
+    cost: float
+    #: Whether its rank paid, within its pool and over all pools.
+    paid: bool
+    paid_total: bool
+
+
 @attrs.define
 class _Total:
     """Items of one rank over all pools."""
@@ -61,12 +75,15 @@
         self._lanes: dict[str, _Lane] = {}
         self._account = ShareAccount(shares)
         self._totals = [_Total() for _ in shares]
+        self._usage = [UsageRatio() for _ in shares]
         #: For each rank the pools that have work, in turn.
         self._turns: list[dict[str, None]] = [{} for _ in shares]
         self._items: dict[str, QueuedItem] = {}
+        #: What the items in flight were charged, oldest first.
+        self._charges: OrderedDict[str, _Charge] = OrderedDict()
         self._order = itertools.count()
-        #: Deadlines with a tie breaker; entries of items that left are skipped.
-        self._deadlines: list[tuple[float, int, QueuedItem]] = []
+        #: Latest starts with a tie breaker; entries of items that left are skipped.
+        self._latest_starts: list[tuple[float, int, QueuedItem]] = []
         self._expired: list[QueuedItem] = []
 
     def __len__(self) -> int:
@@ -98,7 +115,7 @@
         self._totals[rank].length += 1
         self._turns[rank].setdefault(item.pool)
         self._items[item.item_id] = item
-        heapq.heappush(self._deadlines, (item.deadline, next(self._order), item))
+        heapq.heappush(self._latest_starts, (item.start_by, next(self._order), item))
         return refused
 
     def pop(self, now: float, pool: str | None = None) -> QueuedItem | None:
@@ -126,11 +143,27 @@
         return item
 
     def expire(self, now: float) -> list[QueuedItem]:
-        """Removes and returns the items whose deadline passed, each exactly once."""
+        """Removes and returns the items that can no longer end in time, each exactly once."""
         self._collect_expired(now)
         expired, self._expired = self._expired, []
         return expired
 
+    def completed(self, item: QueuedItem, used: float) -> None:
+        """Takes in what an item that left by `pop` really used, in tokens, 0 if it did not run.
+
+        Corrects what its rank was charged, and the estimate for later items of the rank. Without
+        these calls the shares hold for the declared cost.
+        """
+        charge = self._charges.pop(item.item_id, None)
+        if charge is None:
+            return
+        rank, lane = self._rank(item), self._lane(item.pool)
+        if used > 0:
+            self._usage[rank].add(used, item.cost)
+        extra = used - charge.cost
+        lane.account.correct(rank, extra, charge.paid, lane.ranks)
+        self._account.correct(rank, extra, charge.paid_total, self._totals)
+
     def queued_cost(self, rank: str | None = None, pool: str | None = None) -> float:
         """Returns the queued cost in tokens, of one rank and of one pool if they are given."""
         lanes = self._lanes.values() if pool is None else filter(None, [self._lanes.get(pool)])
@@ -173,8 +206,13 @@
         item = lane.ranks[rank].pop()
         if item is None:
             return None
-        lane.account.served(rank, item.cost, before)
-        self._account.served(rank, item.cost, self._totals)
+        cost = item.cost * self._usage[rank].value
+        paid = lane.account.served(rank, cost, before)
+        paid_total = self._account.served(rank, cost, self._totals)
+        self._charges[item.item_id] = _Charge(cost, paid, paid_total)
+        self._charges.move_to_end(item.item_id)
+        if len(self._charges) > MAX_CHARGES:
+            self._charges.popitem(last=False)
         turns = self._turns[rank]
         turns.pop(pool, None)
         turns[pool] = None
@@ -195,16 +233,16 @@
             self._turns[rank].pop(item.pool, None)
         if not self._totals[rank].length:
             self._account.idle(rank)
-        if len(self._deadlines) > 64 + 2 * len(self._items):
-            self._deadlines = [e for e in self._deadlines if self._is_queued(e[2])]
-            heapq.heapify(self._deadlines)
+        if len(self._latest_starts) > 64 + 2 * len(self._items):
+            self._latest_starts = [e for e in self._latest_starts if self._is_queued(e[2])]
+            heapq.heapify(self._latest_starts)
 
     def _is_queued(self, item: QueuedItem) -> bool:
         return self._items.get(item.item_id) is item
 
     def _collect_expired(self, now: float) -> None:
-        while self._deadlines and self._deadlines[0][0] <= now:
-            item = heapq.heappop(self._deadlines)[2]
+        while self._latest_starts and self._latest_starts[0][0] <= now:
+            item = heapq.heappop(self._latest_starts)[2]
             if self._is_queued(item):
                 self._take(item)
                 self._expired.append(item)
