Keep a call that reschedules itself at once from starving the loop

Cause: with gathering set to 0 ms the claim system asked for its next run at the present time, and the loop served such calls until none was due; an entry stopped answering for good. Excluded: the claim table itself, which returned no commands. Change: one pass serves the calls due at its start; the claim system waits at least 2 ms.

--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -32,6 +32,8 @@
 
 #: Seconds without an answer from the log after which an append or read counts as failed.
 _SILENCE_S = 1.5
+#: Shortest time between two runs of the table that nothing else caused.
+_MIN_WAKE_S = 0.002
 
 
 class ClaimSystem:
@@ -108,7 +110,7 @@
             self._carry_out(command)
         if now >= self._wake_at and self._table.unsettled:
             # Records are gathered for less than a tick, so the next cut must not wait for one.
-            self._wake_at = now + self._gather_s
+            self._wake_at = now + max(self._gather_s, _MIN_WAKE_S)
             self._node.loop.call_at(self._wake_at, lambda: self.run(self._node.clock.now()))
 
     @singledispatchmethod
--- a/fescuechute/net/_loop.py
+++ b/fescuechute/net/_loop.py
@@ -76,13 +76,14 @@
 
     @handler("generate_events")
     def _on_generate_events(self, event: generate_events) -> None:
-        while self._pending:
-            left = self._pending[0][0] - self.clock.now()
-            if left > 0:
-                event.reduce_time_left(left)
-                return
+        now = self.clock.now()
+        # A function that asks for a call at once must wait for the next pass, or sockets starve.
+        for _ in range(len(self._pending)):
+            if self._pending[0][0] > now:
+                break
             heapq.heappop(self._pending)[2]()
-            event.reduce_time_left(0)
+        if self._pending:
+            event.reduce_time_left(max(0.0, self._pending[0][0] - now))
 
     @handler("tick")
     def _on_tick_event(self) -> None:
