--- a/fescuechute/notes/_fold.py
+++ b/fescuechute/notes/_fold.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import json
-
 import attrs
 
-from fescuechute.notes._note import Note, Release, Withdrawal, release_to_dict
+from fescuechute.notes._note import Note, Release, Withdrawal, release_size
 from fescuechute.notes._state import ReleaseState
 
 #: Largest encoded list of releases. A snapshot holds it and must fit into one frame between
@@ -45,9 +43,10 @@
     del time
     try:
         releases = _apply(state, note)
+        size = _new_size(state, releases, note)
     except _RejectedError as exc:
         return Verdict(False, str(exc), state)
-    return Verdict(True, "Accepted.", ReleaseState(state.revision + 1, offset, releases))
+    return Verdict(True, "Accepted.", ReleaseState(state.revision + 1, offset, releases, size))
 
 
 def _apply(state: ReleaseState, note: Note) -> dict[tuple[str, str], Release]:
@@ -61,7 +60,6 @@
     for release in note.set:
         releases[release.key] = release
     _check_models(releases)
-    _check_size(releases)
     return releases
 
 
@@ -97,9 +95,16 @@
             )
 
 
-def _check_size(releases: dict[tuple[str, str], Release]) -> None:
-    size = len(json.dumps([release_to_dict(release) for release in releases.values()]))
+def _new_size(state: ReleaseState, releases: dict[tuple[str, str], Release], note: Note) -> int:
+    """Returns the size after a note; only the entries that the note names are measured."""
+    size = state.size
+    changed = [item.key for item in note.set] + [item.key for item in note.withdraw]
+    for key in changed:
+        before, after = state.releases.get(key), releases.get(key)
+        size -= release_size(before) if before is not None else 0
+        size += release_size(after) if after is not None else 0
     if size > MAX_STATE_BYTES:
         raise _RejectedError(
             f"The releases would take {size} bytes, above the limit of {MAX_STATE_BYTES}."
         )
+    return size
--- a/fescuechute/notes/_ledger.py
+++ b/fescuechute/notes/_ledger.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 import json
 import math
 from collections import OrderedDict, deque
@@ -23,6 +22,7 @@
     snapshot_to_dict,
 )
 from fescuechute.notes._state import ReleaseState
+from fescuechute.notes._timeline import Timeline
 
 #: History entries and accepted notes that a daemon keeps, about a day at 4,300 changes a day.
 DEFAULT_HISTORY = 5000
@@ -49,14 +49,6 @@
     message: str
 
 
-@attrs.frozen
-class _Accepted:
-    offset: int
-    #: Unix seconds, never below that of an earlier accepted note.
-    time: float
-    note: Note
-
-
 class Ledger:
     """Folds records and answers what was in force when.
 
@@ -84,18 +76,11 @@
         self.next_offset = 0
         self.replay_from = 0
         self.has_base = False
-        self._keep = math.inf if keep is None else keep
+        self._timeline = Timeline(math.inf if keep is None else keep)
         self._folded: OrderedDict[str, Folded] = OrderedDict()
         #: Records read since the last gap that await a snapshot; None while the fold is complete.
         self._waiting: list[dict[str, Any]] | None = []
         self._first_waiting = 0
-        #: State before `_accepted`, with the time since which it was in force.
-        self._base = ReleaseState()
-        self._base_time = -math.inf
-        #: Offset from which on every record has been folded.
-        self._base_offset = 0
-        self._accepted: deque[_Accepted] = deque()
-        self._last_time = -math.inf
 
     @property
     def is_current(self) -> bool:
@@ -133,9 +118,7 @@
 
     def state_at(self, time: float) -> ReleaseState | None:
         """Returns the state in force at a unix time, or None when the records have aged out."""
-        if not self.has_base or time < self._base_time:
-            return None
-        return self._replay(lambda item: item.time <= time)
+        return self._timeline.at_time(time) if self.has_base else None
 
     def snapshot(self) -> dict[str, Any]:
         """Returns the data of a snapshot record.
@@ -149,7 +132,7 @@
             covers=self.next_offset - 1,
             revision=self.state.revision,
             offset=self.state.offset,
-            time=self._last_time if self.state.revision else 0.0,
+            time=self._timeline.last_time if self.state.revision else 0.0,
             releases=tuple(release for _, release in sorted(self.state.releases.items())),
             folded=tuple(self._folded.values()),
         )
@@ -178,9 +161,7 @@
         verdict = fold(self.state, offset, record["time"], note)
         if verdict.accepted:
             self.state = verdict.state
-            self._last_time = max(self._last_time, record["time"])
-            self._accepted.append(_Accepted(offset, self._last_time, note))
-            self._trim()
+            self._timeline.add(offset, record["time"], note, self.state)
         return [self._judge(record, note, verdict.accepted, verdict.reason)]
 
     def _judge(
@@ -218,9 +199,9 @@
         return self._start_from(snapshot)
 
     def _compare(self, record: Mapping[str, Any], snapshot: Snapshot) -> list[HistoryEntry]:
-        if snapshot.covers < self._base_offset:
+        expected = self._timeline.at_offset(snapshot.covers)
+        if expected is None:
             return []
-        expected = self._replay(lambda item: item.offset <= snapshot.covers)
         if snapshot.state == expected:
             self.replay_from = max(self.replay_from, snapshot.covers + 1)
             return []
@@ -233,11 +214,9 @@
     def _start_from(self, snapshot: Snapshot) -> list[HistoryEntry]:
         waiting, self._waiting = self._waiting or [], None
         self.has_base = True
-        self.state = self._base = snapshot.state
-        self._base_time = self._last_time = snapshot.time
-        self._base_offset = snapshot.covers
+        self.state = snapshot.state
+        self._timeline.start(snapshot.state, snapshot.covers, snapshot.time)
         self.replay_from = snapshot.covers + 1
-        self._accepted.clear()
         self._folded = OrderedDict((folded.id, folded) for folded in snapshot.folded)
         entries = []
         for record in waiting:
@@ -247,19 +226,6 @@
                 entries += self._apply_note(record)
         return entries
 
-    def _replay(self, wanted: Any) -> ReleaseState:
-        state = self._base
-        for item in itertools.takewhile(wanted, self._accepted):
-            state = fold(state, item.offset, item.time, item.note).state
-        return state
-
-    def _trim(self) -> None:
-        while len(self._accepted) > self._keep:
-            item = self._accepted.popleft()
-            self._base = fold(self._base, item.offset, item.time, item.note).state
-            self._base_time = item.time
-            self._base_offset = item.offset
-
 
 def _digest(data: object) -> str:
     """Returns a digest that does not depend on key order or on tuples becoming lists."""
--- a/fescuechute/notes/_note.py
+++ b/fescuechute/notes/_note.py
@@ -147,6 +147,11 @@
     return data
 
 
+def release_size(release: Release) -> int:
+    """Returns the bytes of a release in JSON, including a separator."""
+    return len(json.dumps(release_to_dict(release))) + 2
+
+
 def check_release(release: Mapping[str, Any], key: str, findings: Findings) -> None:
     """Adds problems that concern several keys of one release."""
     kind, model = release.get("kind"), release.get("model", "")
--- a/fescuechute/notes/_state.py
+++ b/fescuechute/notes/_state.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fescuechute.notes._note import Release
+from fescuechute.notes._note import Release, release_size
 
 
 @attrs.frozen(hash=False)
@@ -19,6 +19,12 @@
     offset: int = -1
     #: Releases by (kind, name).
     releases: Mapping[tuple[str, str], Release] = attrs.field(factory=dict)
+    #: Bytes of the releases in JSON. The fold updates it; otherwise it is computed.
+    size: int = attrs.field(
+        default=attrs.Factory(lambda self: _size(self.releases), takes_self=True),
+        eq=False,
+        repr=False,
+    )
 
     def get(self, kind: str, name: str) -> Release | None:
         """Returns a release, or None when it is not declared anywhere."""
@@ -54,3 +60,7 @@
             and base.is_for_place(region, data_centre)
             and release.is_for_place(region, data_centre)
         )
+
+
+def _size(releases: Mapping[tuple[str, str], Release]) -> int:
+    return sum(release_size(release) for release in releases.values())
--- a/tests/notes/test_ledger.py
+++ b/tests/notes/test_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 from note_examples import note, record, release
 
-from fescuechute.notes import Ledger, ReleaseState
+from fescuechute.notes import Ledger, ReleaseState, _timeline, fold
 from fescuechute.notes._ledger import FOLDED_KEPT
 
 
@@ -218,6 +218,23 @@
     assert bounded.apply(record(20, full.snapshot(), id="s")) == []
 
 
+def test_questions_about_the_past_fold_few_notes(monkeypatch):
+    """Folding a day of notes again would stop the process for longer than its heartbeat."""
+    ledger = applied(*versions(300))
+    folds = []
+
+    def counted(*args):
+        folds.append(args)
+        return fold(*args)
+
+    monkeypatch.setattr(_timeline, "fold", counted)
+    for time in range(300):
+        folds.clear()
+        state = ledger.state_at(time)
+        assert state.get("model", "carga").version == str(time)
+        assert len(folds) < 64
+
+
 def test_snapshot_needs_a_current_ledger():
     """A snapshot of a gap would hide notes from every later reader."""
     for ledger in (Ledger(), applied(*versions(1, first=5))):
--- a/tests/notes/test_note_fold.py
+++ b/tests/notes/test_note_fold.py
@@ -66,6 +66,16 @@
     assert "limit" in verdicts[-1].reason
 
 
+def test_size_does_not_depend_on_the_way_to_the_state():
+    """A reader that starts from a snapshot must reach the limit at the same note."""
+    state = folded(
+        note(set=[release(places=["norte", "sur"]), release("b"), adapter()]),
+        note("n2", 1, set=[release("b", version="longer")]),
+        note("n3", 2, withdraw=[withdrawal(places=["sur"]), withdrawal("grua", "adapter")]),
+    )
+    assert state.size == ReleaseState(3, 2, state.releases).size > 0
+
+
 def test_withdrawal_reduces_the_places():
     """A withdrawal from one region must leave the release in the others."""
     state = folded(
