--- a/tests/cli/test_cli_publish.py
+++ b/tests/cli/test_cli_publish.py
@@ -7,6 +7,7 @@
 from cli_examples import note
 
 from fescuechute.cli import ExitCode
+from fescuechute.cli._note_log import NoteLog
 
 TIMEOUT = ("--timeout", "8")
 
@@ -165,3 +166,14 @@
         thread.join(deadline - time.monotonic())
     assert sorted(codes) == [ExitCode.DONE, *[ExitCode.REFUSED] * 3]
     assert len(log.records) == 4
+
+
+def test_interrupted_append_is_unknown(run, log, note_file, monkeypatch):
+    """An operator who stops a slow command must be told that the note may be in force."""
+
+    def interrupted(*_args):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(NoteLog, "append", interrupted)
+    code, _, err = run("note", "publish", note_file(note()), "--log", log.address)
+    assert (code, "interrupted" in err) == (ExitCode.OUTCOME_UNKNOWN, True)
--- a/tests/logstream/test_stream_view.py
+++ b/tests/logstream/test_stream_view.py
@@ -99,6 +99,8 @@
     view = viewed((7, 9, 7))
     view.apply(0, records(0, 3), 0)
     assert view.complete_since > 107.0
+    view.apply(0, records(0, 3), 0, now=500.0)
+    assert view.complete_since > 107.0
 
 
 def test_log_whose_records_all_aged_out_is_complete_from_the_answer_on():
