Report a refused append at the deadline as not published

A deadline that passed between a refusal and the next read gave the exit code of an unknown outcome.

--- a/fescuechute/cli/_publish.py
+++ b/fescuechute/cli/_publish.py
@@ -23,6 +23,7 @@
 
 
 _REPEAT = "Run the same command again; a note with the same id is folded only once."
+_NOT_PUBLISHED = "Nothing was published; try again later."
 
 
 class Publisher:
@@ -60,7 +61,9 @@
                     raise
                 return self.unknown(exc.found)
             if self._log.find(self._note.id) is None and not backoff.wait():
-                return self.unknown("The note is not in the log so far.")
+                if self.may_be_appended:
+                    return self.unknown("The note is not in the log so far.")
+                raise PlatformError("The log took no append in time.", _NOT_PUBLISHED)
         return self._verdict()
 
     def unknown(self, found: str) -> Outcome:
@@ -87,7 +90,7 @@
             self.may_be_appended = False
             if answer.status not in (429, 503) or not backoff.wait():
                 found = f"The log refused the append with status {answer.status}."
-                raise PlatformError(found, "Nothing was published; try again later.")
+                raise PlatformError(found, _NOT_PUBLISHED)
 
     def _verdict(self) -> Outcome:
         record = self._log.find(self._note.id)
--- a/tests/cli/test_cli_publish.py
+++ b/tests/cli/test_cli_publish.py
@@ -7,7 +7,7 @@
 from cli_examples import note
 
 from fescuechute.cli import ExitCode
-from fescuechute.cli._note_log import NoteLog
+from fescuechute.cli._note_log import Backoff, NoteLog
 
 TIMEOUT = ("--timeout", "8")
 
@@ -87,6 +87,17 @@
     assert "Nothing was published" in err
 
 
+@pytest.mark.parametrize("waits", [0, 1, 2, 3])
+def test_deadline_after_a_refusal_publishes_nothing(run, log, note_file, monkeypatch, waits):
+    """Wherever the deadline falls, a refused append must not be reported as unknown."""
+    left = [True] * waits
+    monkeypatch.setattr(Backoff, "wait", lambda _self: bool(left and left.pop()))
+    log.append_faults = [503] * 10
+    code, _, err = run("note", "publish", note_file(note()), "--log", log.address)
+    assert (code, log.records) == (ExitCode.PLATFORM_UNAVAILABLE, [])
+    assert "Nothing was published" in err
+
+
 def test_refused_append_is_not_retried(run, log, note_file):
     """A log that finds the request wrong will not change its mind."""
     log.append_faults = [400]
