--- a/fescuechute/admission/_queue.py
+++ b/fescuechute/admission/_queue.py
@@ -11,7 +11,7 @@
 
 from fescuechute.admission._flows import RoundRobin
 from fescuechute.admission._items import QueuedItem
-from fescuechute.admission._shares import ShareAccount, UsageRatio
+from fescuechute.admission._shares import ShareAccount
 
 #: Default tokens that a workspace of weight 1 may serve in a turn; about one ordinary request.
 QUANTUM = 512.0
@@ -31,11 +31,9 @@
 
 @attrs.frozen
 class _Charge:
-    """What an item was charged when it was served."""
+    """How an item was charged when it was served."""
 
-    #: Tokens.
-    cost: float
-    #: Whether its rank paid, within its pool and over all pools.
+    #: Whether its rank paid the cost, within its pool and over all pools.
     paid: bool
     paid_total: bool
 
@@ -75,11 +73,10 @@
         self._lanes: dict[str, _Lane] = {}
         self._account = ShareAccount(shares)
         self._totals = [_Total() for _ in shares]
-        self._usage = [UsageRatio() for _ in shares]
         #: For each rank the pools that have work, in turn.
         self._turns: list[dict[str, None]] = [{} for _ in shares]
         self._items: dict[str, QueuedItem] = {}
-        #: What the items in flight were charged, oldest first.
+        #: How the items in flight were charged, oldest first.
         self._charges: OrderedDict[str, _Charge] = OrderedDict()
         self._order = itertools.count()
         #: Latest starts with a tie breaker; entries of items that left are skipped.
@@ -151,16 +148,14 @@
     def completed(self, item: QueuedItem, used: float) -> None:
         """Takes in what an item that left by `pop` really used, in tokens, 0 if it did not run.
 
-        Corrects what its rank was charged, and the estimate for later items of the rank. Without
-        these calls the shares hold for the declared cost.
+        Corrects what its rank was charged. Requests declare `max_tokens` and most end earlier, more
+        so in some ranks than in others; without these calls the shares hold for the declared cost.
         """
         charge = self._charges.pop(item.item_id, None)
         if charge is None:
             return
         rank, lane = self._rank(item), self._lane(item.pool)
-        if used > 0:
-            self._usage[rank].add(used, item.cost)
-        extra = used - charge.cost
+        extra = used - item.cost
         lane.account.correct(rank, extra, charge.paid, lane.ranks)
         self._account.correct(rank, extra, charge.paid_total, self._totals)
 
@@ -206,10 +201,9 @@
         item = lane.ranks[rank].pop()
         if item is None:
             return None
-        cost = item.cost * self._usage[rank].value
-        paid = lane.account.served(rank, cost, before)
-        paid_total = self._account.served(rank, cost, self._totals)
-        self._charges[item.item_id] = _Charge(cost, paid, paid_total)
+        paid = lane.account.served(rank, item.cost, before)
+        paid_total = self._account.served(rank, item.cost, self._totals)
+        self._charges[item.item_id] = _Charge(paid, paid_total)
         self._charges.move_to_end(item.item_id)
         if len(self._charges) > MAX_CHARGES:
             self._charges.popitem(last=False)
--- a/fescuechute/admission/_shares.py
+++ b/fescuechute/admission/_shares.py
@@ -79,31 +79,3 @@
     def idle(self, rank: int) -> None:
         """Drops the credit of a rank that ran out of work."""
         self._credit[rank] = min(0.0, self._credit[rank])
-
-
-class UsageRatio:
-    """Ratio of the tokens that a rank's requests use to their declared cost, at most 1.
-
-    Requests declare `max_tokens` and most end earlier. Ranks differ in this, so shares of the
-    declared cost are not shares of the work.
-    """
-
-    #: Declared tokens after which the past counts for a half.
-    HALF_LIFE = 100_000.0
-
-    def __init__(self) -> None:
-        # A prior of a few requests, so that the first one does not set the ratio.
-        self._used = self._declared = 2_000.0
-
-    @property
-    def value(self) -> float:
-        """The ratio."""
-        return self._used / self._declared
-
-    def add(self, used: float, declared: float) -> None:
-        """Takes in a request that ended."""
-        decay = 0.5 ** (declared / self.HALF_LIFE)
-        # The floor keeps free service from a rank whose requests all fail at once.
-        used = min(declared, max(used, 0.05 * declared))
-        self._used = self._used * decay + used
-        self._declared = self._declared * decay + declared
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -99,6 +99,16 @@
     assert duty_holders("log-reader", directory.live_ids("norte-1"), 1) == [holder]
 
 
+def test_vm_that_left_the_list_comes_back_as_live():
+    """A replaced VM with a known id must not inherit the lost link of its predecessor."""
+    directory = Directory()
+    directory.apply_list([_vm("a1"), _vm("a2")], 1.0, 1.0)
+    directory.observed_down("a1")
+    directory.apply_list([_vm("a2")], 2.0, 2.0)
+    directory.apply_list([_vm("a1"), _vm("a2")], 3.0, 3.0)
+    assert directory.live_ids() == ["a1", "a2"]
+
+
 def test_selection_by_role_upstream_and_region():
     """A wrong filter would dial the wrong processes."""
     directory = Directory()
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -185,5 +185,9 @@
     assert pool.get("a") is None
     assert [row.agent_id for row in pool] == ["b"]
     assert pool.elsewhere("sur") == [pool.get("b")]
+    pool.add(_row("c"))
+    assert pool.elsewhere("sur") == [pool.get("b"), pool.get("c")]
+    pool.remove("c")
+    assert pool.elsewhere("sur") == [pool.get("b")]
     pool.remove("b")
     assert not pool._warm
