--- a/bench/_admission_model.py
+++ b/bench/_admission_model.py
@@ -149,7 +149,9 @@
 
 
 class Ours(FairOnly):
-    """Protected shares, fair turns and early refusal by the measured rate."""
+    """Protected shares, fair turns and early refusal by the measured rate and the run time."""
+
+    knows_run_time = True
 
     def __init__(self) -> None:
         super().__init__()
@@ -157,7 +159,8 @@
         self._rate = RateEstimator()
 
     def offer(self, item: QueuedItem, now: float) -> None:
-        item = attrs.evolve(item, run_s=item.cost / SLOT_RATE)
+        if self.knows_run_time:
+            item = attrs.evolve(item, run_s=item.cost / SLOT_RATE)
         if self._policy.admit(item, self._queue, now, self._rate.rate(now)) is None:
             self._queue.push(item)
 
@@ -166,11 +169,18 @@
         self._queue.completed(item, item.payload.tokens)
 
 
+class OursWithoutRunTime(Ours):
+    """As `Ours`, with an owner that gives no expected run time."""
+
+    knows_run_time = False
+
+
 POLICIES = {
     "none": Unlimited,
     "one_queue": OneQueue,
     "strict_priority": StrictPriority,
     "fair_queue_only": FairOnly,
+    "ours_without_run_time": OursWithoutRunTime,
     "ours": Ours,
 }
 
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -43,39 +43,49 @@
 def table(
     scenario: str, figures: Sequence[Figure], baseline_policy: str, seeds: Sequence[int]
 ) -> list[dict[str, Any]]:
-    """Prints one table as Markdown and returns its rows."""
-    baselines = {f.name: statistics.mean(f.values) for f in figures if f.policy == baseline_policy}
+    """Prints one Markdown table, a row for each figure, and returns the rows for JSON."""
+    policies = sorted({f.policy for f in figures}, key=[f.policy for f in figures].index)
+    policies.sort(key=lambda policy: policy != baseline_policy)
     print(f"\n### {scenario}\n")
-    print(f"Seeds {', '.join(map(str, seeds))}; mean (lowest to highest seed).")
-    print(f"Baseline: {baseline_policy}.\n")
-    print("| figure | policy | measured | target | baseline | ratio |")
-    print("| --- | --- | --- | --- | --- | --- |")
+    print(f"Seeds {', '.join(map(str, seeds))}. Cells: mean (lowest to highest seed), ratio to the")
+    print("baseline, and whether every seed keeps the target.\n")
+    heads = [f"{p} (baseline)" if p == baseline_policy else p for p in policies]
+    print(f"| figure | target | {' | '.join(heads)} |")
+    print("| --- " * (len(heads) + 2) + "|")
     rows = []
-    for figure in sorted(figures, key=lambda f: _order(f, figures)):
-        mean, baseline = statistics.mean(figure.values), baselines[figure.name]
-        ratio = f"{mean / baseline:.2f}" if baseline else "-"
-        verdict = ""
-        if figure.target:
-            verdict = f"{figure.target} {'met' if figure.target.met(figure.values) else 'missed'}"
-        spread = f"{mean:.3f} ({min(figure.values):.3f} to {max(figure.values):.3f})"
-        print(
-            f"| {figure.name} | {figure.policy} | {spread} | {verdict or '-'} "
-            f"| {baseline:.3f} | {ratio} |"
-        )
-        rows.append(
-            {
-                "scenario": scenario,
-                "figure": figure.name,
-                "policy": figure.policy,
-                "by_seed": dict(zip(map(str, seeds), figure.values, strict=True)),
-                "target": str(figure.target) if figure.target else None,
-                "met": figure.target.met(figure.values) if figure.target else None,
-                "baseline": baseline,
-            }
-        )
+    for name in dict.fromkeys(f.name for f in figures):
+        cells = {f.policy: f for f in figures if f.name == name}
+        baseline = statistics.mean(cells[baseline_policy].values)
+        target = cells[baseline_policy].target
+        texts = [_cell(cells[policy], baseline, baseline_policy) for policy in policies]
+        print(f"| {name} | {target or '-'} | {' | '.join(texts)} |")
+        rows += [_row(scenario, cells[policy], baseline, seeds) for policy in policies]
     return rows
 
 
+def _cell(figure: Figure, baseline: float, baseline_policy: str) -> str:
+    mean = statistics.mean(figure.values)
+    text = f"{mean:.3f} ({min(figure.values):.3f} to {max(figure.values):.3f})"
+    # A ratio to a baseline next to zero says nothing.
+    if figure.policy != baseline_policy and baseline >= 0.01:
+        text += f", {mean / baseline:.2f}x"
+    if figure.target:
+        text += ", met" if figure.target.met(figure.values) else ", missed"
+    return text
+
+
+def _row(scenario: str, figure: Figure, baseline: float, seeds: Sequence[int]) -> dict[str, Any]:
+    return {
+        "scenario": scenario,
+        "figure": figure.name,
+        "policy": figure.policy,
+        "by_seed": dict(zip(map(str, seeds), figure.values, strict=True)),
+        "target": str(figure.target) if figure.target else None,
+        "met": figure.target.met(figure.values) if figure.target else None,
+        "baseline": baseline,
+    }
+
+
 def collect(
     policies: Sequence[str],
     seeds: Sequence[int],
@@ -105,9 +115,3 @@
     """Returns a percentile by the nearest rank."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else float("nan")
-
-
-def _order(figure: Figure, figures: Sequence[Figure]) -> tuple[int, int]:
-    names = [f.name for f in figures]
-    policies = [f.policy for f in figures]
-    return names.index(figure.name), policies.index(figure.policy)
