--- a/fescuechute/routing/_rows.py
+++ b/fescuechute/routing/_rows.py
@@ -15,10 +15,8 @@
 MAX_PREFIXES = 512
 
 #: Weight of our own unreported requests in comparisons of load. Other entries react to the same
-#: report, so that what we sent stands for what they sent unseen as well. In the experiments with 1
-#: to 32 entries 4 gave fewer refusals than 1 throughout and never a worse first token by more than
-#: the spread of the seeds; room is judged by the plain count, or one entry alone could not fill an
-#: upstream.
+#: report, so what we sent stands for what they sent unseen as well; docs/decisions/routing.md has
+#: the trials. Room is judged by the plain count, or one entry alone could not fill an upstream.
 SEND_WEIGHT = 4
 
 
