--- a/tests/claims/model.py
+++ b/tests/claims/model.py
@@ -99,6 +99,10 @@
     frozen: bool = False
     appends: list[AppendBatch] = attrs.field(factory=list)
     reads: list[ReadPartition] = attrs.field(factory=list)
+    #: Offset at which the log took the append in flight, -1 if it did not.
+    applied: int = -1
+    #: What the log answered to the read in flight.
+    answer: tuple[list, int, float] | None = None
     sends: list[Send] = attrs.field(factory=list)
 
 
@@ -158,32 +162,43 @@
                 self._check_reply(self.attempts[command.call_id], command)
 
     def finish_append(self, entry: Entry, fate: str) -> None:
-        """Ends the append in flight: ok, refused, lost, lost_applied or lost_delayed."""
-        batch = entry.appends.pop()
+        """Ends the append in flight, or with a fate of `hang` leaves it in flight."""
+        batch = entry.appends[0]
         if not self.log.up and fate in ("ok", "refused"):
             fate = "down"
-        if fate in ("ok", "lost_applied"):
-            first = self.log.append(batch.records, self.now)
-        if fate == "lost_delayed":
+        if fate in ("ok", "lost_applied", "hang_applied") and self.log.up and entry.applied < 0:
+            entry.applied = self.log.append(batch.records, self.now)
+        if fate.startswith("hang"):
+            return
+        entry.appends.clear()
+        if fate == "lost_delayed" and entry.applied < 0:
             self.log.repeatable.update(record["id"] for record in batch.records)
             self.delayed.append(batch)
         if fate == "ok":
-            entry.table.append_done(0, batch.batch_id, first)
+            entry.table.append_done(0, batch.batch_id, entry.applied)
         else:
-            certain = fate in ("refused", "down")
+            certain = fate in ("refused", "down") and entry.applied < 0
             entry.table.append_failed(0, batch.batch_id, certain_not_applied=certain)
+        entry.applied = -1
         if fate == "down":
             entry.table.log_down(self.now + entry.clock_s)
 
     def finish_read(self, entry: Entry, fate: str) -> None:
-        read = entry.reads.pop()
-        if not self.log.up:
-            entry.table.log_down(self.now + entry.clock_s)
-        elif fate == "ok":
-            records, first, now = self.log.read(read.from_offset, read.limit, self.now)
+        """Ends the read in flight; after a `hang` it later ends with an old answer."""
+        read = entry.reads[0]
+        if self.log.up and entry.answer is None:
+            entry.answer = self.log.read(read.from_offset, read.limit, self.now)
+        if fate == "hang":
+            return
+        entry.reads.clear()
+        if fate == "ok" and entry.answer is not None:
+            records, first, now = entry.answer
             entry.table.records(0, records, first, now)
-        else:
+        elif self.log.up:
             entry.table.read_failed(0, self.now + entry.clock_s)
+        else:
+            entry.table.log_down(self.now + entry.clock_s)
+        entry.answer = None
 
     def pass_on(self, entry: Entry) -> None:
         """The daemon hands its calls to an agent."""
@@ -227,9 +242,12 @@
             self.log.repeatable.add(entry["id"])
             self.log.append((entry,), self.now)
             return
-        data = {"type": "release", "claim_id": entry["data"].get("claim_id")}
+        claim_id = entry["data"].get("claim_id") or "none"
+        data = {"type": "release", "claim_id": claim_id}
         if kind == "foreign_release":
             data["holder"] = "stranger"
+        elif kind == "release_after_outcome" and entry["data"]["type"] == "outcome":
+            data["holder"] = claim_id.partition("/")[0]
         self.log.append(({"id": f"odd-{len(self.log.history)}", "data": data},), self.now)
 
     def refuse(self, attempt: Attempt) -> None:
--- a/tests/claims/test_claims_machine.py
+++ b/tests/claims/test_claims_machine.py
@@ -4,6 +4,7 @@
 """
 
 import os
+import sys
 
 from hypothesis import HealthCheck, seed, settings
 from hypothesis import strategies as st
@@ -25,11 +26,11 @@
 
 pick = st.integers(0, 7)
 append_fates = st.sampled_from(
-    ["ok", "ok", "ok", "hang", "refused", "lost", "lost_applied", "lost_delayed"]
+    ["ok", "ok", "ok", "hang", "hang_applied", "refused", "lost", "lost_applied", "lost_delayed"]
 )
 read_fates = st.sampled_from(["ok", "ok", "ok", "hang", "failed"])
 timeouts = st.sampled_from([0.5, 20.0, 1000.0])
-ages = st.sampled_from([0.0, 0.0, 0.0, 4.0, 50.0, 59.0, -4.0, 61.0])
+ages = st.sampled_from([0.0, 0.0, 0.0, 4.0, 50.0, 59.0, -4.0, -15.0, 61.0])
 clocks = st.sampled_from([0.0, 0.0, 2.0, -2.0, 20.0, -20.0])
 pauses = st.sampled_from([0.01, 0.01, 0.3, 3.0, 30.0, 75.0])
 
@@ -43,6 +44,7 @@
     "record_twice",
     "foreign_release",
     "invalid_release",
+    "release_after_outcome",
 }
 
 
@@ -115,12 +117,20 @@
 
     def _step(self, entry, append, read):
         self.world.run(entry)
-        if entry.appends and append != "hang":
+        if entry.appends:
             self.world.finish_append(entry, append)
-        if entry.reads and read != "hang":
+        if entry.reads:
             self.world.finish_read(entry, read)
         self.world.run(entry)
 
+    @rule(index=pick, key=pick, append=append_fates, read=read_fates)
+    def submit_and_stall(self, index, key, append, read):
+        """The deadline of a call passes at some step between its claim and its read-back."""
+        self.submit(index, key, 0.5, other_content=1)
+        for pause_s in (0.01, 0.01, 1.0):
+            self.world.now += pause_s
+            self.step(index, append, read)
+
     @rule(index=pick)
     def pass_on(self, index):
         entry = self._entry(index)
@@ -207,6 +217,7 @@
             open_call = call.reply is None and not call.caller_gone
             dead = claim["holder"] in world.dead
             assert dead or call.claim_id or open_call, "a claim that will never send holds a key"
+            assert dead or not call.executed, "an outcome was not recorded"
             return
         for entry in world.entries:
             now = world.now + entry.clock_s
@@ -221,7 +232,8 @@
         self.world.check()
 
     def teardown(self):
-        if self.world.entries:
+        # After a failure the end of the run would only hide its cause.
+        if self.world.entries and sys.exc_info()[0] is None:
             self.settle()
             self.world.check()
 
