--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -87,9 +87,9 @@
         listed = {row.id for row in self.directory.agents()}
         for row in self.directory.agents():
             self.hub.connect(row.id, row.address, row.link_port)
-        for agent_id in self.upstreams.rows:
-            if agent_id not in listed:
-                self.hub.disconnect(agent_id)
+        for agent_id in [name for name in self.upstreams.rows if name not in listed]:
+            self.hub.disconnect(agent_id)
+            self.upstreams.forget(agent_id)
 
     def on_link_up(self, peer_id: str, hello: wire.Hello) -> None:
         """An agent can be used once it reports its status."""
--- a/fescuechute/entry/_dispatch.py
+++ b/fescuechute/entry/_dispatch.py
@@ -92,6 +92,17 @@
             self._queue.remove(row.request_id)
             self._close_attempt(row)
 
+    def settle(self, row: RequestRow, used: float) -> None:
+        """Corrects what a request was charged for, once an attempt has ended.
+
+        Args:
+          row: The request.
+          used: Tokens that the attempt used, 0 when it did not run.
+        """
+        item, row.item = row.item, None
+        if item is not None:
+            self._queue.completed(item, used)
+
     # Systems.
 
     def tick(self, now: float) -> None:
@@ -101,7 +112,9 @@
             if row.request_id in self.rows and not row.agent_id:
                 self._push(self._item(row, now))
         for item in self._queue.expire(now):
-            self._give_up(item.payload, Reason.DEADLINE_PASSED, None)
+            passed = item.deadline <= now
+            reason = Reason.DEADLINE_PASSED if passed else Reason.DEADLINE_UNREACHABLE
+            self._give_up(item.payload, reason, None if passed else now + 1.0)
         for row in [row for row in self.rows.values() if row.deadline <= now and row.agent_id]:
             row.owner.failed(row, Reason.DEADLINE_PASSED, None)
         for pool in {row.pool for row in self.rows.values()}:
@@ -117,8 +130,12 @@
             item = self._queue.pop(now, pool)
             if item is None:
                 break
-            if self._start(item.payload, now):
+            row: RequestRow = item.payload
+            row.item = item
+            if self._start(row, now):
                 served += item.cost
+            else:
+                self.settle(row, 0.0)
         backlogged = self._queue.queued_cost(pool=pool) > 0
         self._rate(pool).observe(now, served, backlogged)
 
@@ -153,6 +170,7 @@
         reason = Reason(msg.reason)
         self._node.upstreams.refused(agent_id, reason, now)
         self._close_attempt(row, counted=True)
+        self.settle(row, 0.0)
         self._node.count(f"retried.{reason}")
         row.refusals += 1
         if row.refusals > MAX_REFUSALS or reason in (Reason.QUARANTINED, Reason.DEADLINE_PASSED):
@@ -188,7 +206,8 @@
         row.agent_id = upstream.agent_id
         if row.fingerprint:
             self._node.quarantine.started(row.fingerprint)
-        upstream.sent(now, row.prefixes)
+        row.sent_at = now
+        self._node.upstreams.sent(upstream, now, row.prefixes)
         if not self._node.hub.send(upstream.agent_id, msg):
             # Nothing left this process, so the attempt was surely not run.
             upstream.linked = False
@@ -220,7 +239,15 @@
 
     def _item(self, row: RequestRow, now: float) -> QueuedItem:
         return QueuedItem(
-            row.request_id, row.rank, row.workspace, row.cost, now, row.deadline, row, row.pool
+            row.request_id,
+            row.rank,
+            row.workspace,
+            row.cost,
+            now,
+            row.deadline,
+            row,
+            row.pool,
+            row.run_s,
         )
 
     def _push(self, item: QueuedItem) -> None:
--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -29,6 +29,8 @@
 
     def __init__(self, node: EntryDaemon):
         self._node = node
+        #: Seconds for a token by model, first token included, exponentially weighted.
+        self._token_s: dict[str, float] = {}
         node.dispatcher.route(ModelRow, self._route)
 
     def submit(self, request_id: str, req: GenerateRequest, responder: Responder) -> None:
@@ -52,6 +54,7 @@
             prefixes=prefix_fingerprints(req.prompt),
             req=req,
             assembly=Assembly(request_id, streamed=req.stream),
+            run_s=req.max_tokens * self._token_s.get(req.model, 0.0),
         )
         if self._node.quarantine.verdict(row.fingerprint) is Verdict.QUARANTINED:
             raise RefusedError(Reason.QUARANTINED, "This content has crashed upstreams.")
@@ -81,7 +84,11 @@
         except RefusedError as exc:
             self._broken(row, exc)
             return
-        self._node.quarantine.completed(row.fingerprint)
+        if row.solo:
+            self._node.quarantine.completed(row.fingerprint)
+        prompt_cost = len(row.req.prompt) / _CHARS_PER_TOKEN
+        self._node.dispatcher.settle(row, prompt_cost + msg.count)
+        self._learn_rate(row, msg.count)
         self._node.dispatcher.finish(row)
         self._node.count(f"answered.{row.rank}")
         self._answer(row, msg)
@@ -91,6 +98,7 @@
         assert isinstance(row, ModelRow)
         now = self._node.clock.now()
         row.tries += 1
+        self._node.dispatcher.settle(row, len(row.assembly.tokens))
         row.assembly.abandon("the attempt failed")
         if reason is Reason.DEADLINE_PASSED:
             self._refuse(row, RefusedError(reason, "The deadline has passed.", ran=row.ran))
@@ -153,6 +161,7 @@
             return None
         resume = row.assembly.tokens if begun and can_resume(begun, served) else ()
         row.attempt += 1
+        row.solo = solo
         row.served = served
         row.assembly.begin_attempt(row.attempt, len(resume))
         msg = Generate(
@@ -173,6 +182,13 @@
         )
         return upstream, msg
 
+    def _learn_rate(self, row: ModelRow, count: int) -> None:
+        if row.tries or not count:
+            return
+        seconds = (self._node.clock.now() - row.sent_at) / count
+        known = self._token_s.get(row.req.model, seconds)
+        self._token_s[row.req.model] = 0.9 * known + 0.1 * seconds
+
     def _may_retry(self, row: ModelRow, now: float) -> bool:
         if not row.responder.is_open or row.tries >= self._node.cfg.retry.max_attempts:
             return False
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from fescuechute.admission import QueuedItem
 from fescuechute.entry._validate import CallRequest, GenerateRequest
 from fescuechute.errors import Ran, Reason
 from fescuechute.streams import Assembly, Served
@@ -59,6 +60,12 @@
     #: Content fingerprint; empty for calls.
     fingerprint: str = ""
     prefixes: tuple[int, ...] = ()
+    #: Expected seconds from leaving the queue to the end of the answer, 0 when not known.
+    run_s: float = 0.0
+    #: The item under which the request last left the queue, until its cost is settled.
+    item: QueuedItem | None = None
+    #: Unix seconds at which the current attempt was sent.
+    sent_at: float = 0.0
 
     @property
     def ran(self) -> Ran:
@@ -76,6 +83,8 @@
     served: Served | None = None
     #: Attempts that may have run.
     tries: int = 0
+    #: Whether the current attempt runs alone on its upstream.
+    solo: bool = False
 
 
 @attrs.define(eq=False, kw_only=True)
--- a/fescuechute/errors/__init__.py
+++ b/fescuechute/errors/__init__.py
@@ -2,6 +2,7 @@
 
 from fescuechute.errors._errors import (
     FescuechuteError,
+    FrameCorruptError,
     FrameTooLargeError,
     FrameTruncatedError,
     NoteError,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "FescuechuteError",
+    "FrameCorruptError",
     "FrameTooLargeError",
     "FrameTruncatedError",
     "NoteError",
--- a/fescuechute/errors/_errors.py
+++ b/fescuechute/errors/_errors.py
@@ -73,6 +73,10 @@
     """A connection ended inside a frame, or a message lacks fields."""
 
 
+class FrameCorruptError(WireError):
+    """A frame was changed on its way."""
+
+
 class ProtocolVersionError(WireError):
     """A peer speaks a version of the protocol that this process does not know."""
 
--- a/fescuechute/settings/_tables.py
+++ b/fescuechute/settings/_tables.py
@@ -133,8 +133,10 @@
     max_tokens: int = attrs.field(default=4096, metadata=checked(Whole(1)))
     #: How an upstream is chosen.
     policy: str = attrs.field(
-        default="two_choices",
-        metadata=checked(Choice(("two_choices", "random", "round_robin", "least_outstanding"))),
+        default="prefix_bounded",
+        metadata=checked(
+            Choice(("prefix_bounded", "two_choices", "random", "round_robin", "least_outstanding"))
+        ),
     )
     #: Longest wait for requests in flight when the process stops.
     drain_timeout_s: float = attrs.field(default=60.0, metadata=checked(Number(0)))
--- a/fescuechute/wire/_frames.py
+++ b/fescuechute/wire/_frames.py
@@ -7,8 +7,10 @@
 
 import attrs
 import msgpack
+import xxhash
 
 from fescuechute.errors import (
+    FrameCorruptError,
     FrameTooLargeError,
     FrameTruncatedError,
     UnknownMessageError,
@@ -19,7 +21,9 @@
 #: Largest payload of one frame, in bytes. Bounds the memory that one peer can make us hold.
 MAX_FRAME_BYTES = 1 << 20
 
-_HEADER = struct.Struct(">I")
+#: Length of the payload and its xxh32. TCP's own checksum misses what a faulty middlebox rewrites,
+#: and one changed token would reach the caller before the digest of the whole answer.
+_HEADER = struct.Struct(">II")
 
 #: Type codes are part of the protocol: append, never renumber.
 _TYPES: tuple[type[m.Message], ...] = (
@@ -74,7 +78,7 @@
             f"{cls.__name__} takes {len(payload)} bytes, the limit is {MAX_FRAME_BYTES}.",
             "Split it into several messages.",
         )
-    return _HEADER.pack(len(payload)) + payload
+    return _HEADER.pack(len(payload), xxhash.xxh32_intdigest(payload)) + payload
 
 
 class FrameDecoder:
@@ -89,6 +93,7 @@
 
         Raises:
           FrameTooLargeError: If a header announces more than the limit.
+          FrameCorruptError: If a payload does not match its checksum.
           UnknownMessageError: If the type code is not known.
           FrameTruncatedError: If a message lacks fields.
           WireError: If the payload is not a valid message.
@@ -97,7 +102,7 @@
         messages = []
         start = 0
         while len(self._buffer) - start >= _HEADER.size:
-            (size,) = _HEADER.unpack_from(self._buffer, start)
+            size, checksum = _HEADER.unpack_from(self._buffer, start)
             if size > self._max:
                 raise FrameTooLargeError(
                     f"A frame announces {size} bytes, the limit is {self._max}.",
@@ -106,7 +111,13 @@
             end = start + _HEADER.size + size
             if len(self._buffer) < end:
                 break
-            messages.append(_decode(bytes(self._buffer[start + _HEADER.size : end])))
+            payload = bytes(self._buffer[start + _HEADER.size : end])
+            if xxhash.xxh32_intdigest(payload) != checksum:
+                raise FrameCorruptError(
+                    "A frame does not match its checksum.",
+                    "Nothing to do; the link is dropped and opened again.",
+                )
+            messages.append(_decode(payload))
             start = end
         if start:
             del self._buffer[:start]
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -118,7 +118,7 @@
 @pytest.mark.parametrize(
     ("data", "counter"),
     [
-        pytest.param(b"\xff\xff\xff\xff", "links.invalid.FrameTooLargeError", id="too_large"),
+        pytest.param(b"\xff" * 8, "links.invalid.FrameTooLargeError", id="too_large"),
         pytest.param(b"GET / HTTP/1.1\r\n", "links.invalid.FrameTooLargeError", id="http"),
         pytest.param(encode(Cancel("r", 1)), "links.invalid.WireError", id="no_hello"),
     ],
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -5,6 +5,7 @@
 
 import msgpack
 import pytest
+import xxhash
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -20,7 +21,7 @@
 
 
 def _frame(payload: bytes) -> bytes:
-    return struct.pack(">I", len(payload)) + payload
+    return struct.pack(">II", len(payload), xxhash.xxh32_intdigest(payload)) + payload
 
 
 @given(cuts=st.lists(st.integers(0, 200), max_size=6))
@@ -39,7 +40,9 @@
 @pytest.mark.parametrize(
     ("data", "error"),
     [
-        pytest.param(struct.pack(">I", MAX_FRAME_BYTES + 1), FrameTooLargeError, id="too_large"),
+        pytest.param(
+            struct.pack(">II", MAX_FRAME_BYTES + 1, 0), FrameTooLargeError, id="too_large"
+        ),
         pytest.param(_frame(b"\xc1"), WireError, id="not_msgpack"),
         pytest.param(_frame(msgpack.packb("text")), WireError, id="not_a_list"),
         pytest.param(_frame(msgpack.packb([99, 1])), UnknownMessageError, id="unknown_type"),
@@ -67,3 +70,14 @@
     """A sender must not put a frame on the link that every receiver drops."""
     with pytest.raises(FrameTooLargeError):
         encode(Blob(b"d" * 32, bytes(MAX_FRAME_BYTES)))
+
+
+@given(position=st.integers(0), bit=st.integers(0, 7))
+def test_changed_byte_never_becomes_another_message(position, bit):
+    """A byte changed on the way must not turn into a different token."""
+    data = bytearray(encode(PIECE))
+    data[position % len(data)] ^= 1 << bit
+    with pytest.raises(WireError):
+        decoder = FrameDecoder()
+        assert decoder.feed(bytes(data)) == []
+        decoder.close()
