--- a/fescuechute/weights/_designation.py
+++ b/fescuechute/weights/_designation.py
@@ -64,6 +64,14 @@
             row.order = [agent_id for _, agent_id in sorted(scored, reverse=True)]
         return row.order
 
+    def shows_at_work(self, row: WantedRow, holder_id: str) -> bool:
+        """Returns whether a first holder other than the designated agent shows that one at work.
+
+        The holder copied the chunk from the designated agent unless its own turn had come, which it
+        cannot have when another agent, or this one, ranks before it as the next.
+        """
+        return self.order(row).index(holder_id) > 1 if holder_id in self.order(row) else False
+
     def region_order(self, digest: bytes) -> list[str]:
         """Returns the regions in the order in which the chunk preferably spreads.
 
@@ -85,27 +93,32 @@
         row: WantedRow,
         available_at: float,
         now: float,
+        patience_s: float,
         peer: Callable[[str], SourceRow | None],
     ) -> bool:
-        """Returns whether all agents ranked before this one have failed to deliver the chunk."""
-        for rank, agent_id in enumerate(self.order(row)):
-            if agent_id == self._self_id:
-                return True
-            if agent_id in row.denied:
-                continue
-            if not self.is_late(peer(agent_id), rank, available_at, now):
-                return False
-        return True
-
-    def is_late(self, peer: SourceRow | None, rank: int, available_at: float, now: float) -> bool:
-        """Returns whether an agent is gone, or has brought nothing into the region for too long.
+        """Returns whether all agents ranked before this one have failed to deliver the chunk.
 
-        The deadline runs from the last chunk that it brought in rather than from the time at which
-        the chunk became available: an agent works through its share for the whole distribution.
+        The turn of an agent begins when the deadline of the one before it has passed, so that the
+        ranks follow each other even when none of them has brought in anything for long.
+        """
+        turn_at = available_at
+        for agent_id in self.order(row):
+            if agent_id == self._self_id:
+                break
+            if agent_id not in row.denied:
+                turn_at = self.deadline(peer(agent_id), turn_at, patience_s)
+        return now >= turn_at
+
+    @staticmethod
+    def deadline(peer: SourceRow | None, turn_at: float, patience_s: float) -> float:
+        """Returns when an agent whose turn began at `turn_at` counts as late.
+
+        The deadline runs from the last chunk that it brought into the region: an agent works
+        through its share for the whole distribution. A lost link alone says little, since the agent
+        may be at work and linked to all others. A blocked agent has no turn.
         """
-        progress_at = available_at
-        if peer is not None:
-            if peer.down_at is not None and now >= peer.down_at + self._limits.absent_s:
-                return True
-            progress_at = max(available_at, peer.entry_at)
-        return now >= progress_at + self._limits.entry_s * (rank + 1)
+        if peer is None:
+            return turn_at + patience_s
+        if peer.suspended:
+            return turn_at
+        return max(turn_at, peer.entry_at) + patience_s
--- a/fescuechute/weights/_exchange.py
+++ b/fescuechute/weights/_exchange.py
@@ -10,6 +10,9 @@
 from fescuechute.weights._peers import MAX_DIGESTS_PER_PEER, ExchangeLimits, SourceRow, WantedRow
 from fescuechute.weights._table import BlobTable
 
+#: Failures of the origin in a row after which it counts as out rather than as rate-limited.
+ORIGIN_OUT_FAILURES = 3
+
 
 class Exchange:
     """Decides the fetches of one agent.
@@ -42,19 +45,22 @@
         self._limits = limits or ExchangeLimits()
         self._designation = Designation(self_id, region, home, self._limits)
         self._table = BlobTable(region, self._designation, self._limits)
-        self._digests: frozenset[bytes] = frozenset()
+        self._digests: dict[bytes, None] = {}
         self._cancels: list[Command] = []
         #: Time of the last plan, and of the first one after the wanted set changed.
         self._now = 0.0
         self._wanted_at: float | None = None
         #: Time at which a missing blob last became known in another region.
         self._foreign_at = 0.0
+        self._takeover_at = 0.0
+        #: Time at which the origin last appeared to be out.
+        self._origin_out_at = 0.0
 
     # Inputs.
 
     def want(self, digests: Iterable[bytes]) -> None:
         """Replaces the wanted set. Fetches of blobs no longer wanted are cancelled."""
-        wanted = frozenset(digests)
+        wanted = dict.fromkeys(digests)
         rows = self._table.rows
         missing = [digest for digest in wanted if digest not in self._held]
         if wanted == self._digests and len(missing) == len(rows):
@@ -78,7 +84,8 @@
         peer = SourceRow(peer_id, region, linked=True, entry_at=self._now)
         if old is not None:
             # A faulty peer must not clear its record by reconnecting.
-            peer.bad, peer.blocked_until = old.bad, old.blocked_until
+            peer.bad, peer.untrue = old.bad, old.untrue
+            peer.blocked_until, peer.suspended = old.blocked_until, old.suspended
         self._table.peers[peer_id] = peer
 
     def peer_down(self, peer_id: str) -> None:
@@ -87,11 +94,10 @@
         if peer is None or not peer.linked:
             return
         peer.linked = False
-        peer.down_at = self._now
         for row in [row for row in self._table.active.values() if peer_id in row.fetches]:
             self._table.release(row, peer_id)
         for digest in peer.has:
-            self._table.remove_holder(digest, peer_id)
+            self._table.remove_holder(digest, peer_id, self._now)
         peer.has.clear()
 
     def peer_has(self, peer_id: str, digests: Iterable[bytes]) -> None:
@@ -110,7 +116,7 @@
         sender = self._table.source(source)
         row = self._table.rows.get(digest)
         if sender is not None:
-            sender.failures = 0
+            sender.found_good(self._limits)
         if row is None:
             return
         fetch = row.fetches.get(source)
@@ -127,9 +133,9 @@
         self._table.failed(digest, source, now)
         if source == ORIGIN:
             # There is no second origin, so it is asked again after a pause and never blocked.
-            sender.back_off(now, self._limits, self._rng)
+            self._origin_failed(sender, now)
         else:
-            sender.found_bad(now, self._limits)
+            self._block(sender, sender.found_bad(self._limits), now)
 
     def refused(self, digest: bytes, source: str, reason: str, now: float) -> None:
         """A source cannot give a blob now: `missing`, `busy`, or the origin's failure."""
@@ -137,14 +143,27 @@
         if sender is None:
             return
         self._table.failed(digest, source, now)
+        if source == ORIGIN:
+            self._origin_failed(sender, now)
+            return
         sender.back_off(now, self._limits, self._rng)
         if reason == "missing" and digest in sender.has:
-            sender.has.discard(digest)
+            del sender.has[digest]
             row = self._table.rows.get(digest)
             if row is not None:
                 row.denied.add(source)
                 self._table.disputed.add(digest)
-            self._table.remove_holder(digest, source)
+            self._table.remove_holder(digest, source, now)
+            self._block(sender, sender.found_untrue(self._limits), now)
+
+    def _block(self, peer: SourceRow, seconds: float, now: float) -> None:
+        if seconds:
+            self._table.suspend(peer, now + seconds, now)
+
+    def _origin_failed(self, origin: SourceRow, now: float) -> None:
+        origin.back_off(now, self._limits, self._rng)
+        if origin.failures >= ORIGIN_OUT_FAILURES:
+            self._origin_out_at = now
 
     # Views.
 
@@ -180,6 +199,9 @@
         self._now = now
         if self._wanted_at is None:
             self._wanted_at = self._foreign_at = now
+        self._table.resume(now)
+        if now >= self._takeover_at:
+            self._take_over(now)
         commands = self._cancels + self._expire(now)
         self._cancels = []
         slots = self._limits.parallel - self._table.in_flight
@@ -187,12 +209,8 @@
             slots = min(slots, may_start)
         if slots <= 0 or not self._table.rows:
             return commands
-        starts = self._plan_entries(now, min(slots, self._limits.entering - self._table.entering))
+        starts = self._plan_entries(now, min(slots, self._entry_slots()))
         starts += self._plan_local(now, slots - len(starts))
-        if len(starts) < slots:
-            starts += self._plan_entries(now, slots - len(starts))
-        if len(starts) < slots:
-            starts += self._plan_takeovers(now, slots - len(starts))
         if len(starts) < slots and len(self._table.rows) <= self._limits.endgame:
             starts += self._plan_endgame(now, slots - len(starts))
         return commands + starts
@@ -204,8 +222,12 @@
                 source = self._table.source(fetch.source)
                 self._table.failed(row.digest, fetch.source, now)
                 commands.append(CancelFetch(fetch.source, row.digest))
-                if source is not None:
-                    self._table.duration(source).missed()
+                if source is None:
+                    continue
+                self._table.duration(source).missed()
+                if source.id == ORIGIN:
+                    self._origin_failed(source, now)
+                else:
                     source.back_off(now, self._limits, self._rng)
         return commands
 
@@ -245,54 +267,77 @@
             preferred = self._designation.preferred_region(row.digest)
             near = [peer for peer in usable if peer.region == preferred]
             return self._table.pick(near or usable, self._rng)
-        if not row.foreign and self._origin_allowed(now):
+        if not row.foreign and self._origin_allowed(now, row.foreign_at):
             return origin if origin.usable(now, self._limits.per_source) else None
         return None
 
-    def _origin_allowed(self, now: float) -> bool:
+    def _origin_allowed(self, now: float, foreign_at: float = 0.0) -> bool:
+        """Returns whether this region may ask the origin for a chunk without a holder elsewhere."""
         if self._designation.enters_from_origin:
             return True
-        return now >= max(self._wanted_at or now, self._foreign_at) + self._limits.origin_after_s
+        since = max(self._wanted_at or now, self._foreign_at, foreign_at)
+        return now >= since + self._limits.origin_after_s
 
-    def _plan_takeovers(self, now: float, slots: int) -> list[Command]:
-        """Fetches into the region what agents ranked before this one fail to deliver."""
+    def _take_over(self, now: float) -> None:
+        """Marks the chunks that agents ranked before this one fail to bring into the region."""
+        self._takeover_at = now + self._limits.takeover_every_s
         wanted_at = self._wanted_at or now
+        patience_s = self._patience_s()
         peers = self._table.peers
-        if not self._table.disputed and not any(
-            agent_id != self._self_id
-            and self._designation.is_late(peers.get(agent_id), 0, wanted_at, now)
+        late = {
+            agent_id
             for agent_id in self._designation.ids
-        ):
-            return []
-        commands: list[Command] = []
+            if agent_id != self._self_id
+            and now >= self._designation.deadline(peers.get(agent_id), wanted_at, patience_s)
+        }
+        taken, disputed = self._table.taken, self._table.disputed
+        if not (late or taken or disputed):
+            return
         for row in self._table.rows.values():
-            if len(commands) >= slots:
-                break
             if row.local or row.fetches or self._designation.is_mine(row):
                 continue
-            available_at = self._available_at(row, now)
-            if available_at is None or not self._designation.takeover(
-                row, available_at, now, peers.get
-            ):
+            if not (row.taken_over or row.designee in late or row.digest in disputed):
                 continue
-            source = self._entry_source(row, now)
-            if source is not None:
-                commands.append(self._table.start(row, source, now))
-        return commands
+            available_at = self._available_at(row, now)
+            row.taken_over = available_at is not None and self._designation.takeover(
+                row, available_at, now, patience_s, peers.get
+            )
+            (taken.add if row.taken_over else taken.discard)(row.digest)
+            self._table.index(row)
+
+    def _entry_slots(self) -> int:
+        """Returns how many more fetches into the region this agent may start.
+
+        The agents of a region share its links to the origin and to other regions. A few fetches
+        keep these links busy; more would only take slots from local fetches.
+        """
+        each = self._limits.entering // len(self._designation.ids)
+        return max(1, min(self._limits.parallel, each)) - self._table.entering
+
+    def _patience_s(self) -> float:
+        """Returns the seconds without a new chunk after which a designated agent counts as late.
+
+        It grows with the measured duration of fetches into the region, so that a slow link between
+        regions does not make every agent look late.
+        """
+        kind = ORIGIN if self._designation.enters_from_origin else "foreign"
+        return max(self._limits.entry_s, self._table.durations[kind].allowance())
 
     def _available_at(self, row: WantedRow, now: float) -> float | None:
         """Returns the time since which an agent of this region could fetch the chunk."""
         wanted_at = self._wanted_at or now
         if self._designation.enters_from_origin:
-            return wanted_at
+            # While the origin is out, the designated agents are not at fault.
+            return max(wanted_at, self._origin_out_at)
         if row.foreign:
             return max(wanted_at, row.foreign_at)
-        if self._origin_allowed(now):
-            return max(wanted_at, self._foreign_at) + self._limits.origin_after_s
+        if self._origin_allowed(now, row.foreign_at):
+            since = max(wanted_at, self._foreign_at, row.foreign_at)
+            return since + self._limits.origin_after_s
         return None
 
     def _plan_local(self, now: float, slots: int) -> list[Command]:
-        """Fetches from holders in the own region, rarest first."""
+        """Fetches from holders in the own region."""
         commands: list[Command] = []
         while slots > len(commands):
             command = self._next_local(now)
@@ -302,17 +347,23 @@
         return commands
 
     def _next_local(self, now: float) -> Command | None:
-        per_source = self._limits.per_source
-        if not any(
-            peer.region == self._region and peer.usable(now, per_source)
+        """Starts one fetch: a random source of those least used, then the rarest chunk it holds.
+
+        Choosing the chunk first would send every agent to the few holders of the rarest chunks and
+        leave the other uplinks idle; see docs/decisions/exchange.md.
+        """
+        usable = [
+            peer
             for peer in self._table.peers.values()
-        ):
-            return None
-        for digest in self._table.local.rarest(self._rng):
-            row = self._table.rows[digest]
-            usable = self._table.usable(row.local, row, now)
-            if usable:
-                return self._table.start(row, self._table.pick(usable, self._rng), now)
+            if peer.region == self._region and peer.usable(now, self._limits.per_source)
+        ]
+        self._rng.shuffle(usable)
+        usable.sort(key=lambda peer: peer.in_flight)
+        for peer in usable:
+            for digest in self._table.local.rarest(self._rng):
+                row = self._table.rows[digest]
+                if digest in peer.has and row.avoid.get(peer.id, 0.0) <= now:
+                    return self._table.start(row, peer, now)
         return None
 
     def _plan_endgame(self, now: float, slots: int) -> list[Command]:
@@ -323,7 +374,9 @@
                 break
             if len(row.fetches) != 1:
                 continue
-            usable = self._table.usable(row.local - set(row.fetches), row, now)
+            usable = self._table.usable(
+                [peer_id for peer_id in row.local if peer_id not in row.fetches], row, now
+            )
             if usable:
                 source = self._table.pick(usable, self._rng)
                 commands.append(self._table.start(row, source, now))
--- a/fescuechute/weights/_peers.py
+++ b/fescuechute/weights/_peers.py
@@ -19,9 +19,8 @@
     parallel: int = 4
     #: Fetches in flight for each source.
     per_source: int = 2
-    #: Fetches into the region in flight, so that slow links to other regions leave room for local
-    #: ones.
-    entering: int = 2
+    #: Fetches into a region in flight for all its agents together, at least one for each.
+    entering: int = 8
     #: First deadline of a fetch, until durations have been measured.
     fetch_s: float = 10.0
     #: Bounds of measured deadlines.
@@ -29,13 +28,19 @@
     fetch_max_s: float = 60.0
     #: Time without a new chunk from a designated agent after which the next rank may fetch.
     entry_s: float = 6.0
-    #: Time after a link is lost until the peer counts as gone for rendezvous.
-    absent_s: float = 3.0
     #: Time without a new chunk in any other region after which a region asks the origin.
     origin_after_s: float = 20.0
     #: Bad chunks after which a peer is blocked, and for how long.
     bad_limit: int = 3
     block_s: float = 60.0
+    #: Good chunks in a row that make up for one bad chunk. Links that corrupt 2% of the chunks would
+    #: otherwise block most innocent peers during one distribution.
+    forgive: int = 16
+    #: First block of a peer that announces chunks and then does not have them. It doubles each time
+    #: up to `block_s`; a peer that dropped a version for a newer note does so for a moment only.
+    untrue_s: float = 5.0
+    #: Interval at which deadlines of other agents are checked; a check visits every missing chunk.
+    takeover_every_s: float = 0.5
     #: Missing chunks at or below which the same chunk may be asked from two sources.
     endgame: int = 4
     #: Bounds of the backoff after a refusal.
@@ -51,11 +56,16 @@
     #: Empty for the origin.
     region: str
     linked: bool = False
-    #: Unix seconds at which the link was found lost; None while linked or never linked.
-    down_at: float | None = None
-    #: Digests that the peer announced on the present link.
-    has: set[bytes] = attrs.field(factory=set)
+    #: Digests that the peer announced on the present link, as an ordered set.
+    has: dict[bytes, None] = attrs.field(factory=dict)
+    #: Bad chunks, and good ones since the last bad one.
     bad: int = 0
+    good: int = 0
+    #: Requests for announced chunks refused as missing since the last good chunk.
+    untrue: int = 0
+    #: Blocked for bad chunks or untrue announcements: it counts neither as a holder nor in
+    #: rendezvous order until `blocked_until`.
+    suspended: bool = False
     #: Not asked before this time (unix seconds).
     blocked_until: float = 0.0
     in_flight: int = 0
@@ -74,12 +84,28 @@
         self.failures += 1
         self.blocked_until = max(self.blocked_until, now + ceiling * rng.uniform(0.5, 1.0))
 
-    def found_bad(self, now: float, limits: ExchangeLimits) -> None:
-        """Counts a bad chunk and blocks the source at the limit."""
+    def found_good(self, limits: ExchangeLimits) -> None:
+        """Counts a good chunk."""
+        self.failures = self.untrue = 0
+        self.good += 1
+        if self.good >= limits.forgive:
+            self.good = 0
+            self.bad = max(0, self.bad - 1)
+
+    def found_bad(self, limits: ExchangeLimits) -> float:
+        """Counts a bad chunk; returns the seconds to block the peer for, or 0.0."""
         self.bad += 1
-        if self.bad >= limits.bad_limit:
-            self.bad = 0
-            self.blocked_until = max(self.blocked_until, now + limits.block_s)
+        self.good = 0
+        if self.bad < limits.bad_limit:
+            return 0.0
+        self.bad = 0
+        return limits.block_s
+
+    def found_untrue(self, limits: ExchangeLimits) -> float:
+        """Counts an untrue announcement; returns the seconds to block the peer for, or 0.0."""
+        self.untrue += 1
+        times, rest = divmod(self.untrue, limits.bad_limit)
+        return 0.0 if rest else min(limits.block_s, limits.untrue_s * 2 ** min(times - 1, 8))
 
 
 @attrs.define
@@ -98,10 +124,11 @@
     digest: bytes
     #: Attempts in flight by source.
     fetches: dict[str, Fetch] = attrs.field(factory=dict)
-    #: Linked holders in the own region and elsewhere.
-    local: set[str] = attrs.field(factory=set)
-    foreign: set[str] = attrs.field(factory=set)
-    #: Unix seconds at which a holder elsewhere was first seen; 0.0 while there is none.
+    #: Linked holders in the own region and elsewhere. Ordered sets, so that equal seeds give equal
+    #: decisions whatever the hash seed of the process.
+    local: dict[str, None] = attrs.field(factory=dict)
+    foreign: dict[str, None] = attrs.field(factory=dict)
+    #: Unix seconds at which the first holder elsewhere was seen, or the last one lost.
     foreign_at: float = 0.0
     #: Agents that announced the blob and did not have it; passed over in rendezvous order.
     denied: set[str] = attrs.field(factory=set)
@@ -111,6 +138,8 @@
     #: needed.
     designee: str | None = None
     order: list[str] | None = None
+    #: All agents ranked before this one have failed to deliver the blob into the region.
+    taken_over: bool = False
 
 
 @attrs.define
--- a/fescuechute/weights/_table.py
+++ b/fescuechute/weights/_table.py
@@ -33,6 +33,8 @@
         self.local = RarityIndex()
         #: Idle blobs without one that this agent is designated for, by number of holders elsewhere.
         self.mine = RarityIndex()
+        #: Blobs that this agent took over from agents ranked before it.
+        self.taken: set[bytes] = set()
         #: Blobs that an agent announced without having them.
         self.disputed: set[bytes] = set()
         #: Fetches in flight, and those of them into the region.
@@ -54,8 +56,8 @@
         """Adds a missing blob."""
         row = WantedRow(digest)
         for peer in self.peers.values():
-            if digest in peer.has:
-                (row.local if peer.region == self._region else row.foreign).add(peer.id)
+            if digest in peer.has and not peer.suspended:
+                (row.local if peer.region == self._region else row.foreign)[peer.id] = None
         if row.foreign:
             row.foreign_at = now
         self.rows[digest] = row
@@ -70,36 +72,66 @@
         del self.rows[digest]
         self.local.remove(digest)
         self.mine.remove(digest)
+        self.taken.discard(digest)
         self.disputed.discard(digest)
         return cancels
 
     def add_holder(self, peer: SourceRow, digest: bytes, now: float) -> bool:
         """Notes a holder; True when the blob is wanted and new in the regions elsewhere."""
-        peer.has.add(digest)
+        peer.has[digest] = None
         row = self.rows.get(digest)
-        if row is None:
+        if row is None or peer.suspended:
             return False
         is_new = False
         if peer.region == self._region:
             if not row.local:
                 peer.entry_at = now
-            row.local.add(peer.id)
+                self._note_at_work(row, peer, now)
+            row.local[peer.id] = None
         else:
             is_new = not row.foreign
             if is_new:
                 row.foreign_at = now
-            row.foreign.add(peer.id)
+            row.foreign[peer.id] = None
         self.index(row)
         return is_new
 
-    def remove_holder(self, digest: bytes, peer_id: str) -> None:
+    def _note_at_work(self, row: WantedRow, holder: SourceRow, now: float) -> None:
+        """Notes progress of a designated agent whose link to this one is lost."""
+        designee = self.peers.get(row.designee or "")
+        if (
+            designee is not None
+            and not designee.linked
+            and self._designation.shows_at_work(row, holder.id)
+        ):
+            designee.entry_at = now
+
+    def remove_holder(self, digest: bytes, peer_id: str, now: float) -> None:
         """Forgets that a peer holds a blob."""
         row = self.rows.get(digest)
         if row is not None:
-            row.local.discard(peer_id)
-            row.foreign.discard(peer_id)
+            row.local.pop(peer_id, None)
+            if peer_id in row.foreign:
+                del row.foreign[peer_id]
+                if not row.foreign:
+                    row.foreign_at = now
             self.index(row)
 
+    def suspend(self, peer: SourceRow, until: float, now: float) -> None:
+        """Blocks a peer: until then it counts as holder of nothing."""
+        peer.blocked_until = max(peer.blocked_until, until)
+        peer.suspended = True
+        for digest in peer.has:
+            self.remove_holder(digest, peer.id, now)
+
+    def resume(self, now: float) -> None:
+        """Lifts the blocks that have ended."""
+        for peer in self.peers.values():
+            if peer.suspended and now >= peer.blocked_until:
+                peer.suspended = False
+                for digest in peer.has:
+                    self.add_holder(peer, digest, now)
+
     def start(self, row: WantedRow, source: SourceRow, now: float) -> Command:
         """Starts a fetch and returns its command."""
         deadline = now + self.duration(source).allowance()
@@ -154,7 +186,7 @@
             return
         for row in self.rows.values():
             row.order = row.designee = None
-            self.mine.remove(row.digest)
+            row.taken_over = False
             self.index(row)
 
     def index(self, row: WantedRow) -> None:
@@ -167,5 +199,6 @@
             self.local.set(row.digest, len(row.local))
         else:
             self.local.remove(row.digest)
-            if self._designation.is_mine(row):
+            self.mine.remove(row.digest)
+            if row.taken_over or self._designation.is_mine(row):
                 self.mine.set(row.digest, len(row.foreign))
--- a/fescuechute/weights/_uploads.py
+++ b/fescuechute/weights/_uploads.py
@@ -9,8 +9,9 @@
 
 #: Requests that may wait for each peer. It equals what a peer has in flight towards us.
 QUEUE_PER_PEER = 2
-#: Requests that may wait in all. Beyond it a peer is better served by asking another holder.
-QUEUE_TOTAL = 12
+#: Requests that may wait in all. A peer that is told `busy` asks another holder at once; a longer
+#: queue holds its slots while other uplinks are idle.
+QUEUE_TOTAL = 2
 #: First copies in a row before an ordinary request is served, so that the own region is not starved
 #: while other regions fetch.
 FIRST_COPY_RUN = 3
