--- a/fescuechute/weights/_switch.py
+++ b/fescuechute/weights/_switch.py
@@ -53,8 +53,12 @@
         self._boot_id: str | None = None
         #: A read-back alone does not suffice: an order for the target must have taken effect.
         self._must_order = False
-        #: Chunks of every weight declared so far.
-        self._known: dict[Triple, tuple[bytes, ...]] = {}
+        #: Chunks of every weight declared so far, with the fence from which on they hold: 0 for the
+        #: first ones. A read-back names versions only, so a version declared again with other chunks
+        #: is told apart by the fence of the last order.
+        self._known: dict[Triple, tuple[tuple[bytes, ...], int]] = {}
+        #: Lowest fence at which the engine holds the confirmed set.
+        self._confirmed_fence = 0
         self._blobs_ready = False
         self._may_start = False
         self._running = 0
@@ -103,10 +107,9 @@
         if not changed:
             return
         for weight in target.weights:
-            # A read-back names versions only, so it cannot tell two contents of one version apart.
-            if self._known.setdefault(weight.triple, weight.blobs) != weight.blobs:
-                self._known[weight.triple] = weight.blobs
-                self._must_order = True
+            known = self._known.setdefault(weight.triple, (weight.blobs, 0))
+            if known[0] != weight.blobs:
+                self._known[weight.triple] = (weight.blobs, fence)
         self._blobs_ready = not target.weights
         self._may_start = False
         self._order_backoff.reset()
@@ -189,7 +192,7 @@
             self._new_boot(boot_id, now)
         self._engine = Engine(boot_id, read, fence)
         if self._confirmed is not None and not self._engine.holds(
-            frozenset(weight.triple for weight in self._confirmed)
+            frozenset(weight.triple for weight in self._confirmed), self._confirmed_fence
         ):
             self._stop_serving()
             self._confirmed = None
@@ -290,6 +293,9 @@
         if self._read_deadline is not None and now >= self._read_deadline:
             self._read_deadline = None
             self._read_due_at = now + self._read_backoff.next()
+            if self._serving:
+                # What the engine holds is no longer known.
+                self.engine_lost(now)
         if self._read_deadline is None and now >= self._read_due_at:
             self._read_id += 1
             self._read_deadline = now + self._limits.read_s
@@ -301,6 +307,12 @@
     def _watch_s(self) -> float:
         return self._limits.watch_fenced_s if self._enforces_fencing else self._limits.watch_s
 
+    @property
+    def _target_fence(self) -> int:
+        """Lowest fence at which the engine may hold the declared set."""
+        assert self._target is not None
+        return max((self._known[weight.triple][1] for weight in self._target.weights), default=0)
+
     def _confirm(self) -> None:
         """Reads back anew: an answer that is under way may predate the order."""
         self.state = SwitchState.CONFIRMING
@@ -317,7 +329,8 @@
         if self._engine.fence == self._target.fence and self._order_id:
             # The order took effect although its answer was lost.
             self._must_order = False
-        if self._engine.holds(self._target.triples) and self._settled(now):
+        holds = self._engine.holds(self._target.triples, self._target_fence)
+        if holds and self._settled(now):
             if self.state is not SwitchState.LIVE:
                 self._go_live()
         elif self.state is SwitchState.CONFIRMING:
@@ -330,6 +343,7 @@
         assert self._target is not None
         self.state = SwitchState.LIVE
         self._confirmed = self._target.weights
+        self._confirmed_fence = self._target_fence
         self._order = None
         self._order_backoff.reset()
         self._serve()
--- a/fescuechute/weights/_switch_rows.py
+++ b/fescuechute/weights/_switch_rows.py
@@ -85,9 +85,9 @@
     weights: tuple[Triple, ...]
     fence: int
 
-    def holds(self, triples: frozenset[Triple]) -> bool:
-        """Returns whether the engine holds exactly this set."""
-        return self.weights == tuple(sorted(triples))
+    def holds(self, triples: frozenset[Triple], fence: int) -> bool:
+        """Returns whether the engine holds exactly this set, ordered at this fence or later."""
+        return self.weights == tuple(sorted(triples)) and self.fence >= fence
 
 
 @attrs.define
