--- a/fescuechute/weights/_designation.py
+++ b/fescuechute/weights/_designation.py
@@ -109,8 +109,7 @@
                 turn_at = self.deadline(peer(agent_id), turn_at, patience_s)
         return now >= turn_at
 
-    @staticmethod
-    def deadline(peer: SourceRow | None, turn_at: float, patience_s: float) -> float:
+    def deadline(self, peer: SourceRow | None, turn_at: float, patience_s: float) -> float:
         """Returns when an agent whose turn began at `turn_at` counts as late.
 
         The deadline runs from the last chunk that it brought into the region: an agent works
@@ -121,4 +120,6 @@
             return turn_at + patience_s
         if peer.suspended:
             return turn_at
+        if peer.at_work and not peer.linked:
+            patience_s *= self._limits.unlinked_factor
         return max(turn_at, peer.entry_at) + patience_s
--- a/fescuechute/weights/_exchange.py
+++ b/fescuechute/weights/_exchange.py
@@ -84,7 +84,7 @@
         peer = SourceRow(peer_id, region, linked=True, entry_at=self._now)
         if old is not None:
             # A faulty peer must not clear its record by reconnecting.
-            peer.bad, peer.untrue = old.bad, old.untrue
+            peer.bad, peer.blocks, peer.untrue = old.bad, old.blocks, old.untrue
             peer.blocked_until, peer.suspended = old.blocked_until, old.suspended
         self._table.peers[peer_id] = peer
 
@@ -94,6 +94,7 @@
         if peer is None or not peer.linked:
             return
         peer.linked = False
+        peer.down_at = self._now
         for row in [row for row in self._table.active.values() if peer_id in row.fetches]:
             self._table.release(row, peer_id)
         for digest in peer.has:
@@ -135,7 +136,11 @@
             # There is no second origin, so it is asked again after a pause and never blocked.
             self._origin_failed(sender, now)
         else:
-            self._block(sender, sender.found_bad(self._limits), now)
+            seconds = sender.found_bad(self._limits)
+            if sender.blocks > 1:
+                self._block(sender, seconds, now)
+            elif seconds:
+                sender.blocked_until = max(sender.blocked_until, now + seconds)
 
     def refused(self, digest: bytes, source: str, reason: str, now: float) -> None:
         """A source cannot give a blob now: `missing`, `busy`, or the origin's failure."""
--- a/fescuechute/weights/_peers.py
+++ b/fescuechute/weights/_peers.py
@@ -28,6 +28,12 @@
     fetch_max_s: float = 60.0
     #: Time without a new chunk from a designated agent after which the next rank may fetch.
     entry_s: float = 6.0
+    #: Time after a lost link from which on chunks of that agent at others show that it is at work;
+    #: before, they may have been copied earlier.
+    unlinked_s: float = 3.0
+    #: Factor of deadlines of an agent at work without a link, because its chunks become known only
+    #: when others have copied them.
+    unlinked_factor: float = 3.0
     #: Time without a new chunk in any other region after which a region asks the origin.
     origin_after_s: float = 20.0
     #: Bad chunks after which a peer is blocked, and for how long.
@@ -35,7 +41,7 @@
     block_s: float = 60.0
     #: Good chunks in a row that make up for one bad chunk. Links that corrupt 2% of the chunks would
     #: otherwise block most innocent peers during one distribution.
-    forgive: int = 16
+    forgive: int = 8
     #: First block of a peer that announces chunks and then does not have them. It doubles each time
     #: up to `block_s`; a peer that dropped a version for a newer note does so for a moment only.
     untrue_s: float = 5.0
@@ -56,15 +62,23 @@
     #: Empty for the origin.
     region: str
     linked: bool = False
+    #: Unix seconds at which the link was lost.
+    down_at: float = 0.0
+    #: Brought chunks into the region after the link was lost, as others show.
+    at_work: bool = False
     #: Digests that the peer announced on the present link, as an ordered set.
     has: dict[bytes, None] = attrs.field(factory=dict)
     #: Bad chunks, and good ones since the last bad one.
     bad: int = 0
     good: int = 0
+    #: Blocks for bad chunks since one was last forgiven.
+    blocks: int = 0
     #: Requests for announced chunks refused as missing since the last good chunk.
     untrue: int = 0
-    #: Blocked for bad chunks or untrue announcements: it counts neither as a holder nor in
-    #: rendezvous order until `blocked_until`.
+    #: Blocked for untrue announcements, or again for bad chunks: it counts neither as a holder nor
+    #: in rendezvous order until `blocked_until`. A first block for bad chunks leaves its chunks to
+    #: the region: the path between two VMs may be at fault, and fetching them anew costs origin
+    #: copies.
     suspended: bool = False
     #: Not asked before this time (unix seconds).
     blocked_until: float = 0.0
@@ -91,6 +105,7 @@
         if self.good >= limits.forgive:
             self.good = 0
             self.bad = max(0, self.bad - 1)
+            self.blocks = 0
 
     def found_bad(self, limits: ExchangeLimits) -> float:
         """Counts a bad chunk; returns the seconds to block the peer for, or 0.0."""
@@ -99,6 +114,7 @@
         if self.bad < limits.bad_limit:
             return 0.0
         self.bad = 0
+        self.blocks += 1
         return limits.block_s
 
     def found_untrue(self, limits: ExchangeLimits) -> float:
--- a/fescuechute/weights/_table.py
+++ b/fescuechute/weights/_table.py
@@ -105,6 +105,7 @@
             and self._designation.shows_at_work(row, holder.id)
         ):
             designee.entry_at = now
+            designee.at_work = now >= designee.down_at + self._limits.unlinked_s
 
     def remove_holder(self, digest: bytes, peer_id: str, now: float) -> None:
         """Forgets that a peer holds a blob."""
