--- a/bench/cost.py
+++ b/bench/cost.py
@@ -75,7 +75,7 @@
         pools = (Pool("portal", count, "service"),)
         with Fleet() as fleet:
             system = System(fleet, Layout(pools=pools, entries=1, non_repeatable={})).start()
-            system.publish([])
+            system.publish([_release(0)])
             system.wait_services(60.0)
             time.sleep(2.0)
             daemons = [system.entries[0].process, system.replicas[0].agent]
@@ -148,7 +148,7 @@
         )
         with Fleet() as fleet:
             system = System(fleet, layout).start()
-            system.publish([])
+            system.publish([_release(0)])
             system.wait_services()
             for rate in rates:
                 rows.append(_book(system, gather_ms, rate, seconds, seed))
@@ -209,7 +209,7 @@
     rows = []
     with Fleet() as fleet:
         system = System(fleet, Layout(pools=pools, entries=2, non_repeatable={})).start()
-        system.publish([])
+        system.publish([_release(0)])
         system.wait_services()
         daemons = [entry.process for entry in system.entries]
         daemons += [replica.agent for replica in system.replicas]
--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -21,7 +21,7 @@
 
 import attrs
 
-from bench.policies import AnyRegion, Chain, ChunkFirst, OriginOnly, RandomExchange
+from bench._exchange_baselines import AnyRegion, Chain, ChunkFirst, OriginOnly, RandomExchange
 from bench.swarm import Stall, Swarm, SwarmConfig, SwarmResult
 from fescuechute.weights import Exchange, ExchangeLimits
 
