--- a/tests/claims/model.py
+++ b/tests/claims/model.py
@@ -30,11 +30,15 @@
         self.history: list[dict[str, Any]] = []
         self.first = 0
         self.up = True
-        #: Ids that the model itself put in twice, or let take effect late.
+        #: Ids that the model itself put in twice, or let take effect late, or removed too early.
         self.repeatable: set[str] = set()
 
     def append(self, records: tuple[dict[str, Any], ...], now: float) -> int:
         first = len(self.history)
+        # A read-back cannot find records that retention has already removed.
+        removed = {entry["id"] for entry in self.history[: self.first]}
+        retained = {entry["id"] for entry in self.history[self.first :]}
+        self.repeatable |= {record["id"] for record in records} & (removed - retained)
         for record in records:
             offset = len(self.history)
             self.history.append(
