--- a/tests/claims/model.py
+++ b/tests/claims/model.py
@@ -238,10 +238,12 @@
             self.delayed.clear()
 
     def odd_record(self, kind: str, index: int) -> None:
-        """A record occurs twice, is released by a stranger, or is invalid."""
-        if not self.log.history:
+        """A record occurs twice, is released by a stranger or too late, or is invalid."""
+        wanted = {"foreign_release": "claim", "release_after_outcome": "outcome"}.get(kind)
+        found = [e for e in self.log.history if wanted in (None, e["data"]["type"])]
+        if not found:
             return
-        entry = self.log.history[-1 - index % len(self.log.history)]
+        entry = found[-1 - index % min(3, len(found))]
         if kind == "record_twice":
             self.log.repeatable.add(entry["id"])
             self.log.append((entry,), self.now)
@@ -250,7 +252,7 @@
         data = {"type": "release", "claim_id": claim_id}
         if kind == "foreign_release":
             data["holder"] = "stranger"
-        elif kind == "release_after_outcome" and entry["data"]["type"] == "outcome":
+        elif kind == "release_after_outcome":
             data["holder"] = claim_id.partition("/")[0]
         self.log.append(({"id": f"odd-{len(self.log.history)}", "data": data},), self.now)
 
--- a/tests/claims/test_claims_machine.py
+++ b/tests/claims/test_claims_machine.py
@@ -35,9 +35,10 @@
 pauses = st.sampled_from([0.01, 0.01, 0.3, 3.0, 30.0, 75.0])
 
 
-FAULTS = {
+FAULTS = [
     "freeze_or_resume",
     "replace",
+    "replace_after_retention",
     "log_out_or_back",
     "retain_less",
     "append_late",
@@ -45,7 +46,7 @@
     "foreign_release",
     "invalid_release",
     "release_after_outcome",
-}
+]
 
 
 class ClaimsMachine(RuleBasedStateMachine):
@@ -161,13 +162,21 @@
     def advance(self, seconds):
         self.world.now += seconds
 
-    @rule(fault=st.sampled_from(sorted(FAULTS)), index=pick, clock_s=clocks)
+    @rule(fault=st.sampled_from(FAULTS), index=pick, clock_s=clocks, key=pick)
+    def fault_and_call(self, fault, index, clock_s, key):
+        """A fault is followed by a call, before its effects have passed."""
+        self.fault(fault, index, clock_s)
+        self.submit_and_send(-1 if fault.startswith("replace") else index, key, 20.0)
+
+    @rule(fault=st.sampled_from(FAULTS), index=pick, clock_s=clocks)
     def fault(self, fault, index, clock_s):
         world = self.world
         entry = world.entries[index % len(world.entries)]
         if fault == "freeze_or_resume":
             entry.frozen = not entry.frozen
-        elif fault == "replace":
+        elif fault.startswith("replace"):
+            if fault == "replace_after_retention":
+                world.log.first = len(world.log.history)
             world.kill(entry)
             world.start_entry(clock_s)
         elif fault == "log_out_or_back":
