--- a/fescuechute/claims/_calls.py
+++ b/fescuechute/claims/_calls.py
@@ -7,6 +7,7 @@
 import attrs
 
 from fescuechute.claims._keys import Scope
+from fescuechute.claims._partition import PartitionRow
 
 
 class CallState(enum.Enum):
@@ -34,6 +35,8 @@
 
     call_id: str
     scope: Scope
+    #: Partition of the scope.
+    part: PartitionRow
     digest: str
     operation: str
     #: Unix seconds.
--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -71,7 +71,9 @@
         if call_id in self._rows:
             raise ValueError(f"The call id {call_id} is in use.")
         self._now = now
-        self._rows[call_id] = CallRow(call_id, scope, digest, operation, deadline)
+        self._rows[call_id] = CallRow(
+            call_id, scope, self._partition(scope), digest, operation, deadline
+        )
 
     def caller_gone(self, call_id: str) -> None:
         """Notes that nobody waits for the answer. A call that was sent is still recorded."""
@@ -111,7 +113,7 @@
     def records(
         self, number: int, records: Sequence[Mapping[str, Any]], first: int, now: float
     ) -> None:
-        """Notes the answer to a read.
+        """Notes the answer of the log to a `ReadPartition`.
 
         Args:
           number: Partition.
@@ -135,7 +137,11 @@
         self._partitions[number].read_failed(now)
 
     def log_down(self, now: float) -> None:
-        """Notes that the log answers nothing. It counts as up again after its next answer."""
+        """Notes that the log answers nothing. It counts as up again after its next answer.
+
+        A read in flight counts as failed. An append in flight still has to be ended with
+        `append_done` or `append_failed`.
+        """
         self._now = now
         self._log_up = False
         for row in self._partitions:
@@ -162,10 +168,9 @@
             self.unexpected += 1
             return
         outcome = OutcomeRecord(row.claim_id, status, body)
-        part = self._partition(row.scope)
-        if part.view.outcome(row.scope) is None:
+        if row.part.view.outcome(row.scope) is None:
             self._outcomes[row.claim_id] = (row.scope, outcome)
-            part.queue.add(outcome, self._now)
+            row.part.queue.add(outcome, self._now)
         self._close(row, Answer(call_id, status, body))
         del self._rows[call_id]
 
@@ -212,7 +217,10 @@
 
     def lookup(self, scope: Scope, digest: str) -> ScopeStatus:
         """Returns the state of a scope, from the log and from results known here."""
-        status = self.view(scope).status(scope, digest)
+        return self._lookup(self.view(scope), scope, digest)
+
+    def _lookup(self, view: ClaimsView, scope: Scope, digest: str) -> ScopeStatus:
+        status = view.status(scope, digest)
         known = self._outcomes.get(status.claim_id)
         if status.state is ScopeState.HELD and known is not None:
             outcome = known[1]
@@ -245,15 +253,15 @@
             if self._now > row.scope.key.at + self._cfg.window_s + self._cfg.margin_s:
                 del self._rows[row.call_id]
             return
-        status = self.lookup(row.scope, row.digest)
+        status = self._lookup(row.part.view, row.scope, row.digest)
         if status.state is ScopeState.DONE and status.claim_id == row.claim_id:
             self._close(row, Answer(row.call_id, status.status, status.body))
         elif self._now >= row.deadline:
             self._close(row, Refuse(row.call_id, Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN))
 
     def _step_unsent(self, row: CallRow) -> None:
-        status = self.lookup(row.scope, row.digest)
-        if not self._is_old(row.scope):
+        status = self._lookup(row.part.view, row.scope, row.digest)
+        if not self._is_old(row.part.view, row.scope):
             row.blocked = self._blocks(status, row)
         if status.state is ScopeState.DONE:
             self._close(row, Answer(row.call_id, status.status, status.body))
@@ -265,7 +273,7 @@
         elif self._may_send(row):
             row.state = CallState.SENDING
             self._out.append(Send(row.call_id, row.claim_id))
-        elif self._is_old(row.scope):
+        elif self._is_old(row.part.view, row.scope):
             self._refuse_late(row, Reason.KEY_EXPIRED)
         elif row.blocked:
             return
@@ -277,17 +285,16 @@
             self._check_claim(row)
 
     def _may_send(self, row: CallRow) -> bool:
-        view = self.view(row.scope)
+        view = row.part.view
         return row.state is CallState.CLAIMED and view.may_send(row.claim_id, row.scope)
 
     def _claim(self, row: CallRow) -> None:
-        part = self._partition(row.scope)
         try:
             check_age(row.scope.key, self._now, self._cfg.window_s, self._cfg.skew_s)
         except RefusedError as exc:
             self._refuse(row, exc.reason)
             return
-        if not self._log_up or not part.view.complete_for(row.scope.key):
+        if not self._log_up or not row.part.view.complete_for(row.scope.key):
             reason = Reason.NOT_READY if self._log_up else Reason.LOG_UNAVAILABLE
             self._refuse(row, reason, retry=True)
             return
@@ -295,11 +302,11 @@
         row.claim_id = f"{self._holder}/{self._claims}"
         row.state = CallState.CLAIMED
         record = ClaimRecord(row.claim_id, row.scope, row.operation, self._holder, row.digest)
-        part.queue.add(record, self._now)
+        row.part.queue.add(record, self._now)
 
     def _check_claim(self, row: CallRow) -> None:
         """Refuses a call whose claim was read back and cannot hold the scope."""
-        view = self.view(row.scope)
+        view = row.part.view
         if view.is_counted(row.claim_id):
             if not view.complete_for(row.scope.key):
                 self._refuse(row, Reason.NOT_READY, retry=True)
@@ -345,12 +352,12 @@
         if self._withdraw(row):
             release = ReleaseRecord(row.claim_id, self._holder)
             self._releasing[row.claim_id] = row.scope
-            self._partition(row.scope).queue.add(release, self._now)
+            row.part.queue.add(release, self._now)
 
     def _withdraw(self, row: CallRow) -> bool:
         """Ends a call without a release; returns whether its claim may be in the log."""
         del self._rows[row.call_id]
-        return bool(row.claim_id) and self._partition(row.scope).queue.withdraw(row.claim_id)
+        return bool(row.claim_id) and row.part.queue.withdraw(row.claim_id)
 
     # State of the log.
 
@@ -365,7 +372,7 @@
     def _waiting_partitions(self) -> set[int]:
         """Partitions in which a call waits for a record that is or will be in the log."""
         return {
-            self._partition(row.scope).number
+            row.part.number
             for row in self._rows.values()
             if not row.closed and row.state not in (CallState.SENDING, CallState.SENT)
         }
@@ -374,12 +381,13 @@
         """Drops results and releases that were read back, or whose key is too old to matter."""
         for claim_id, (scope, _) in list(self._outcomes.items()):
             view = self.view(scope)
-            if view.outcome(scope) is not None or self._is_old(scope):
+            if view.outcome(scope) is not None or self._is_old(view, scope):
                 del self._outcomes[claim_id]
         for claim_id, scope in list(self._releasing.items()):
-            if self.view(scope).is_released(claim_id) or self._is_old(scope):
+            view = self.view(scope)
+            if view.is_released(claim_id) or self._is_old(view, scope):
                 del self._releasing[claim_id]
 
-    def _is_old(self, scope: Scope) -> bool:
+    def _is_old(self, view: ClaimsView, scope: Scope) -> bool:
         horizon = scope.key.at + self._cfg.window_s + self._cfg.margin_s
-        return self.view(scope).last_time > horizon
+        return view.last_time > horizon
