Let an agent release claims of bookings that it drops unstarted

Cause: when an entry died, its agents dropped its waiting calls without a record. The agent knew that such a call was not run, but its claim stayed held, so the key answered "unknown" until its window. Excluded: a takeover of the claim by another entry; only the agent knows that nothing was sent. Change: the agent appends the release. It is safe because an entry sends a call elsewhere only after the agent refused it, and a dropped call is never refused.

--- a/fescuechute/agent/_engine.py
+++ b/fescuechute/agent/_engine.py
@@ -68,6 +68,9 @@
         """Model requests end with their entry: it retries them elsewhere."""
         return False
 
+    def dropped(self, row: WorkRow) -> None:
+        """Nothing was recorded of a model request."""
+
     def tick(self, now: float) -> None:
         """Updates the token rate."""
         elapsed = now - self._rate_since
--- a/fescuechute/agent/_work.py
+++ b/fescuechute/agent/_work.py
@@ -61,6 +61,9 @@
     def link_down(self, row: WorkRow) -> bool:
         """The entry of a running request is gone. Returns whether the request goes on."""
 
+    def dropped(self, row: WorkRow) -> None:
+        """A waiting request was dropped because its entry is gone; it never starts."""
+
 
 class WorkTable:
     """Queue, slots and rows of running requests."""
@@ -163,6 +166,8 @@
         """Drops the requests of an entry that is gone, except those that must be completed."""
         for row in [row for row in self._waiting.values() if row.peer_id == peer_id]:
             self._drop(row.key)
+            if self.executor is not None:
+                self.executor.dropped(row)
         if self._solo is not None and self._solo.peer_id == peer_id and self._solo_waits:
             self._solo = None
         for row in [row for row in self.running.values() if row.peer_id == peer_id]:
--- a/fescuechute/claims/__init__.py
+++ b/fescuechute/claims/__init__.py
@@ -27,6 +27,7 @@
     LogRecord,
     OutcomeRecord,
     ReleaseRecord,
+    holder_of,
     parse_record,
 )
 from fescuechute.claims._settings import ClaimSettings
@@ -53,6 +54,7 @@
     "ScopeStatus",
     "Send",
     "check_age",
+    "holder_of",
     "parse_record",
     "partition",
 ]
--- a/fescuechute/claims/_records.py
+++ b/fescuechute/claims/_records.py
@@ -130,6 +130,11 @@
 }
 
 
+def holder_of(claim_id: str) -> str:
+    """Returns the process that made a claim; a `ClaimTable` starts its claim ids with it."""
+    return claim_id.rpartition("/")[0]
+
+
 def parse_record(data: object) -> LogRecord:
     """Returns the record of a log record's data, or raises `ValueError`."""
     if not isinstance(data, dict):
