--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -1,6 +1,8 @@
 """Real processes for integration tests: stand-ins and daemons, ended even when a test fails."""
 
+from tests.harness._callers import Caller, CallSeen, percentile
 from tests.harness._fleet import ROOT, Fleet, Process, ProcessError
+from tests.harness._history import Evidence, claims_in_log, find_violations, gather
 from tests.harness._http import HttpFailedError, http_bytes, http_json
 from tests.harness._settings import to_toml, write_settings
 from tests.harness._standins import (
@@ -20,7 +22,10 @@
 
 __all__ = [
     "ROOT",
+    "CallSeen",
+    "Caller",
     "Entry",
+    "Evidence",
     "Fleet",
     "HttpFailedError",
     "Layout",
@@ -30,8 +35,12 @@
     "Replica",
     "System",
     "add_target",
+    "claims_in_log",
+    "find_violations",
+    "gather",
     "http_bytes",
     "http_json",
+    "percentile",
     "poll",
     "read_lines",
     "set_faults",
--- a/tests/harness/_system.py
+++ b/tests/harness/_system.py
@@ -20,6 +20,7 @@
     start_engine,
     start_entry,
     start_log,
+    start_proxy,
     start_service,
     start_vms,
     start_weights,
@@ -57,6 +58,8 @@
     log_options: dict[str, Any] = attrs.field(factory=dict)
     origin_options: dict[str, Any] = attrs.field(factory=dict)
     vms_options: dict[str, Any] = attrs.field(factory=lambda: {"lag_s": 0.2})
+    #: Puts a fault-injecting proxy in front of each agent's links.
+    proxy_links: bool = False
     #: Further settings tables for all daemons, such as {"claims": {"window_s": 30}}.
     settings: dict[str, Any] = attrs.field(factory=dict)
 
@@ -96,10 +99,16 @@
         self.layout = layout or Layout()
         self.log = start_log(fleet, **self.layout.log_options)
         self.vms = start_vms(fleet, **self.layout.vms_options)
-        self.origin = start_weights(fleet, name="origin", **self.layout.origin_options)
-        self.store = start_weights(fleet, name="store")
+        if any(pool.kind == "engine" for pool in self.layout.pools):
+            self.origin = start_weights(fleet, name="origin", **self.layout.origin_options)
+            self.store = start_weights(fleet, name="store")
+        else:
+            # Only agents of engines ask for weights, so the settings may name any server here.
+            self.origin = self.store = self.log
         self.replicas: list[Replica] = []
         self.entries: list[Entry] = []
+        #: Proxies in front of agents' links, by agent id.
+        self.proxies: dict[str, Process] = {}
         self._revision = 0
 
     # Start.
@@ -118,7 +127,7 @@
             region = self.layout.regions[number % len(self.layout.regions)]
             self.entries.append(self.start_entry(region))
         for replica in self.replicas:
-            self.register_replica(replica)
+            self.register_replica(replica, self._proxied_port(replica))
         for entry in self.entries:
             self.register_entry(entry)
         return self
@@ -141,6 +150,11 @@
         agent = start_agent(self.fleet, path, name=agent_id)
         return Replica(agent_id, pool, region, upstream, agent, path)
 
+    def restart_service(self, port: int) -> Process:
+        """Starts a plain service on the port of one that has ended."""
+        options = self.layout.service_options
+        return start_service(self.fleet, name="service-restarted", port=port, **options)
+
     def start_entry(self, region: str) -> Entry:
         """Starts an entry VM without registering it."""
         entry_id = f"entry-{region}-{len(self.entries)}-{secrets.token_hex(2)}"
@@ -307,6 +321,16 @@
             self.fleet, name=f"service-{pool.upstream}", **self.layout.service_options
         )
 
+    def _proxied_port(self, replica: Replica) -> int:
+        """Returns the port of a new proxy in front of the agent's links, 0 without proxies."""
+        if not self.layout.proxy_links:
+            return 0
+        proxy = start_proxy(
+            self.fleet, replica.agent.link_port, name=f"proxy-{replica.pool.upstream}"
+        )
+        self.proxies[replica.agent_id] = proxy
+        return proxy.port
+
     def _register(
         self, vm_id: str, role: str, link: int, http: int, region: str, upstream: str, kind: str
     ) -> None:
