Refuse a booking that waits at its entry as not run when its deadline passes

Cause: the claim table counts a call as sent once it is queued at the entry. When the table reached the deadline before the queue did, the caller was told "unknown", and the claim was never released. Excluded: telling the table only when an agent is asked; its caller could then not be told apart from one that still claims. Change: a call that the table gives up while it waits in the queue is taken out of the queue, released and refused as deadline_passed, not run.

--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -23,7 +23,7 @@
     partition,
 )
 from fescuechute.entry._rows import CallRow
-from fescuechute.errors import Reason, RefusedError
+from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.net import HttpResult
 from fescuechute.node import pair
 
@@ -167,12 +167,17 @@
         row = self._rows.pop(command.call_id, None)
         if row is None:
             return
-        if row.request_id in self._node.dispatcher.rows:
-            self._node.dispatcher.forget(row)
+        reason, ran = command.reason, command.ran
+        waits = row.request_id in self._node.dispatcher.rows and not row.agent_id
+        if ran is Ran.UNKNOWN and waits:
+            # The table counts a call as sent once it is queued here, but this one never left.
+            self._node.dispatcher.finish(row)
+            self._table.not_run(row.request_id, Reason.DEADLINE_PASSED)
+            reason, ran = Reason.DEADLINE_PASSED, Ran.NOT_RUN
         exc = RefusedError(
-            command.reason,
-            _FOUND.get(command.reason, f"The call was refused ({command.reason})."),
-            ran=command.ran,
+            reason,
+            _FOUND.get(reason, f"The call was refused ({reason})."),
+            ran=ran,
             retry_at=command.retry_at,
         )
         self._node.refused(row.responder, exc, row.request_id)
