Record what an agent says of a booking after its caller's deadline

Cause: at the deadline the entry forgot the call and the agent stopped waiting for the service, so an outcome or a refusal that came a little later was dropped and the key stayed unknown for its window. Excluded: appending by the agent alone, which costs a second append for each call. Change: the entry keeps an overdue call until its agent ends it, and the agent waits up to 30 s longer for the service. When the agent itself reports that it does not know the outcome, the caller is told at once instead of after up to 5 s.

--- a/fescuechute/agent/_service.py
+++ b/fescuechute/agent/_service.py
@@ -23,6 +23,9 @@
 
 #: Seconds without an answer after which a call that may be repeated counts as lost.
 SILENCE_S = 2.5
+#: Seconds beyond its deadline for which the outcome of a call under a claim is awaited. Giving up
+#: at the deadline would leave the key unknown although the service answers a little later.
+OUTCOME_WAIT_S = 30.0
 
 
 class ServiceExecutor:
@@ -51,11 +54,16 @@
             f"/operations/{msg.operation}",
             lambda result: self._ended(row, result),
             body=json.dumps(body).encode(),
-            silence_s=max(SILENCE_S, msg.deadline - self._node.clock.now()) if keyed else SILENCE_S,
+            silence_s=self._silence_s(msg),
             fresh=keyed,
         )
         self._node.hub.send(row.peer_id, Accepted(msg.request_id, msg.attempt))
 
+    def _silence_s(self, msg: Call) -> float:
+        if not msg.claim_id:
+            return SILENCE_S
+        return max(SILENCE_S, msg.deadline - self._node.clock.now()) + OUTCOME_WAIT_S
+
     def cancel(self, row: WorkRow) -> None:
         """Gives up a call. One under a claim goes on, because it may have taken effect."""
         if row.call is not None and not self._keyed(row):
--- a/fescuechute/entry/_calls.py
+++ b/fescuechute/entry/_calls.py
@@ -79,8 +79,7 @@
         now = self._node.clock.now()
         row.tries += 1
         if row.claim_id:
-            self._node.dispatcher.forget(row)
-            self._node.claims.lost(row.request_id)
+            self._claimed_failed(row, reason, msg)
             return
         retry = reason is not Reason.DEADLINE_PASSED and row.responder.is_open
         if retry and row.tries < self._node.cfg.retry.max_attempts:
@@ -126,6 +125,15 @@
         )
         return upstream, msg
 
+    def _claimed_failed(self, row: CallRow, reason: Reason, msg: Failed | None) -> None:
+        if msg is None and reason is Reason.DEADLINE_PASSED:
+            # The claim table answers the caller. What the agent says later is still recorded,
+            # because nobody else can tell the outcome or that the call was not run.
+            row.overdue = True
+            return
+        self._node.dispatcher.forget(row)
+        self._node.claims.lost(row.request_id, recorded_later=msg is None)
+
     def _refuse(self, row: CallRow, exc: RefusedError) -> None:
         self._node.dispatcher.finish(row)
         self._node.refused(row.responder, exc, row.request_id)
--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -83,9 +83,21 @@
         self._table.not_run(request_id, reason, retry_at)
         self.run(self._node.clock.now())
 
-    def lost(self, request_id: str) -> None:
-        """The call may have run and its agent cannot say so any more."""
+    def lost(self, request_id: str, recorded_later: bool) -> None:
+        """The call may have run and its agent cannot tell its outcome over the link.
+
+        Args:
+          request_id: The call.
+          recorded_later: The agent may still record the outcome. False when the agent itself does
+            not know it; waiting would only hold back the caller.
+        """
         self._table.lost(request_id)
+        row = self._rows.pop(request_id, None) if not recorded_later else None
+        if row is not None:
+            self._table.caller_gone(request_id)
+            found = _FOUND[Reason.OUTCOME_UNKNOWN]
+            exc = RefusedError(Reason.OUTCOME_UNKNOWN, found, ran=Ran.UNKNOWN)
+            self._node.refused(row.responder, exc, request_id)
         self.run(self._node.clock.now())
 
     def lookup(self, workspace: str, service: str, key_text: str) -> dict[str, Any]:
--- a/fescuechute/entry/_dispatch.py
+++ b/fescuechute/entry/_dispatch.py
@@ -102,8 +102,9 @@
                 self._push(self._item(row, now))
         for item in self._queue.expire(now):
             self._give_up(item.payload, Reason.DEADLINE_PASSED, None)
-        for row in [row for row in self.rows.values() if row.deadline <= now and row.agent_id]:
-            row.owner.failed(row, Reason.DEADLINE_PASSED, None)
+        for row in list(self.rows.values()):
+            if row.deadline <= now and row.agent_id and not row.overdue:
+                row.owner.failed(row, Reason.DEADLINE_PASSED, None)
         for pool in {row.pool for row in self.rows.values()}:
             self.pump(pool, now)
 
@@ -155,7 +156,8 @@
         self._close_attempt(row, counted=True)
         self._node.count(f"retried.{reason}")
         row.refusals += 1
-        if row.refusals > MAX_REFUSALS or reason in (Reason.QUARANTINED, Reason.DEADLINE_PASSED):
+        final = row.overdue or reason in (Reason.QUARANTINED, Reason.DEADLINE_PASSED)
+        if final or row.refusals > MAX_REFUSALS:
             self._give_up(row, reason, msg.retry_at or None)
         else:
             self.retry_at(row, now + LOOK_AGAIN_S * min(row.refusals, 10))
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -50,6 +50,8 @@
     agent_id: str = ""
     #: Whether an upstream may have begun to run it.
     may_have_run: bool = False
+    #: The deadline has passed, but the attempt in flight is awaited because it may have run.
+    overdue: bool = False
     #: Attempts that were refused as not run.
     refusals: int = 0
     #: Agents that are not asked again.
