--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -23,7 +23,7 @@
     partition,
 )
 from fescuechute.entry._rows import CallRow
-from fescuechute.errors import Reason, RefusedError
+from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.net import HttpResult
 from fescuechute.node import pair
 
@@ -85,9 +85,21 @@
         self._table.not_run(request_id, reason, retry_at)
         self.run(self._node.clock.now())
 
-    def lost(self, request_id: str) -> None:
-        """The call may have run and its agent cannot say so any more."""
+    def lost(self, request_id: str, recorded_later: bool) -> None:
+        """The call may have run and its agent cannot tell its outcome over the link.
+
+        Args:
+          request_id: The call.
+          recorded_later: The agent may still record the outcome. False when the agent itself does
+            not know it; waiting would only hold back the caller.
+        """
         self._table.lost(request_id)
+        row = self._rows.pop(request_id, None) if not recorded_later else None
+        if row is not None:
+            self._table.caller_gone(request_id)
+            found = _FOUND[Reason.OUTCOME_UNKNOWN]
+            exc = RefusedError(Reason.OUTCOME_UNKNOWN, found, ran=Ran.UNKNOWN)
+            self._node.refused(row.responder, exc, request_id)
         self.run(self._node.clock.now())
 
     def lookup(self, workspace: str, service: str, key_text: str) -> dict[str, Any]:
@@ -169,12 +181,17 @@
         row = self._rows.pop(command.call_id, None)
         if row is None:
             return
-        if row.request_id in self._node.dispatcher.rows:
-            self._node.dispatcher.forget(row)
+        reason, ran = command.reason, command.ran
+        waits = row.request_id in self._node.dispatcher.rows and not row.agent_id
+        if ran is Ran.UNKNOWN and waits:
+            # The table counts a call as sent once it is queued here, but this one never left.
+            self._node.dispatcher.finish(row)
+            self._table.not_run(row.request_id, Reason.DEADLINE_PASSED)
+            reason, ran = Reason.DEADLINE_PASSED, Ran.NOT_RUN
         exc = RefusedError(
-            command.reason,
-            _FOUND.get(command.reason, f"The call was refused ({command.reason})."),
-            ran=command.ran,
+            reason,
+            _FOUND.get(reason, f"The call was refused ({reason})."),
+            ran=ran,
             retry_at=command.retry_at,
         )
         self._node.refused(row.responder, exc, row.request_id)
