Bound the cost of control: sparse idle ticks, assigned links, slower reads of a long VM list

Cause: an idle process spent about 1% of a core on 20 ticks a second; every entry linked to every agent; and the whole VM list was read every second, 1.2 MB at 5,460 VMs (bench.micro), against 23 KB/s. Excluded: the systems themselves; a profile of an idle agent shows only the event loop. Change: ticks every 0.2 s while nothing is in flight; each agent is assigned to at most 64 entries by rendezvous hashing, one of them in another region; a poll of the list waits until 8 KB/s allow it.

--- /dev/null
+++ b/bench/micro.py
@@ -0,0 +1,223 @@
+"""Slopes of the decision code in one process: time and memory for each row.
+
+Complements `bench.cost`, which measures whole processes. Times are processor time.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from bench._tables import table, write_json
+from fescuechute.admission import FairQueue, QueuedItem
+from fescuechute.claims import ClaimRecord, ClaimsView, Key, Scope
+from fescuechute.membership import Directory
+from fescuechute.notes import Ledger
+from fescuechute.routing import Policy, Pool, RouteRequest, UpstreamRow, choose
+from fescuechute.weights import BlobStore, Exchange, FetchFromOrigin, FetchFromPeer
+from fescuechute.wire import Blob, FrameDecoder, Piece, Status, encode
+
+
+def timed(repeat: int, work: Callable[[], Any]) -> float:
+    """Returns microseconds of processor time for one call."""
+    work()
+    begin = time.process_time()
+    for _ in range(repeat):
+        work()
+    return (time.process_time() - begin) / repeat * 1e6
+
+
+def held(make: Callable[[], Any]) -> float:
+    """Returns the bytes that an object keeps."""
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def vm_rows(count: int) -> list[dict[str, Any]]:
+    return [
+        {
+            "id": f"agent-assistant-{n:05d}",
+            "role": "agent",
+            "address": "10.0.0.1",
+            "link_port": 7100,
+            "http_port": 7101,
+            "region": f"region-{n % 6}",
+            "data_centre": f"region-{n % 6}-{n % 3}",
+            "upstream": f"model-{n % 8}",
+            "kind": "engine",
+            "state": "live",
+        }
+        for n in range(count)
+    ]
+
+
+def vm_list(rows: list[tuple[str, Any, float, str]]) -> None:
+    for count in (500, 5460):
+        text = json.dumps({"as_of": 1.0, "vms": vm_rows(count)})
+        directory = Directory()
+
+        def read(text: str = text, directory: Directory = directory) -> None:
+            directory.apply_list(json.loads(text)["vms"], 1.0, 1.0)
+
+        rows.append(("VM list: read whole", count, timed(10, read), "us"))
+        rows.append(("VM list: size", count, float(len(text)), "bytes"))
+
+
+def claims(rows: list[tuple[str, Any, float, str]]) -> None:
+    def records(count: int) -> list[dict[str, Any]]:
+        out = []
+        for n in range(count):
+            scope = Scope("workspace-1", "booking", Key.parse(f"1000000-booking_{n:08d}"))
+            claim = ClaimRecord(f"entry-1/boot/{n}", scope, "book", "entry-1/boot", "d" * 32)
+            out.append(
+                {"offset": n, "time": 1000.0, "id": claim.record_id, "data": claim.to_data()}
+            )
+        return out
+
+    many = records(20_000)
+
+    def fold() -> ClaimsView:
+        view = ClaimsView(600.0, 5.0)
+        view.apply(many)
+        return view
+
+    rows.append(("claims: fold one record", 20_000, timed(3, fold) / 20_000, "us"))
+    rows.append(("claims: memory for one key", 20_000, held(fold) / 20_000, "bytes"))
+    rows.append(("claims: one record as JSON", 1, float(len(json.dumps(many[0]))), "bytes"))
+
+
+def queue(rows: list[tuple[str, Any, float, str]]) -> None:
+    rng = random.Random(1)
+    for workspaces in (10, 1000):
+        fair = FairQueue([("urgent", 0.0), ("ordinary", 0.25), ("background", 0.05)], {})
+        number = 0
+
+        def push_pop(fair: FairQueue = fair, workspaces: int = workspaces) -> None:
+            nonlocal number
+            number += 1
+            rank = ("urgent", "ordinary", "background")[number % 3]
+            workspace = f"w{rng.randrange(workspaces)}"
+            fair.push(QueuedItem(str(number), rank, workspace, 100.0, 0.0, 1e9, None, "m"))
+            if len(fair) > 2000:
+                item = fair.pop(1.0, "m")
+                if item is not None:
+                    fair.completed(item, 100.0)
+
+        for _ in range(2000):
+            push_pop()
+        rows.append(("queue: push and pop, by workspaces", workspaces, timed(5000, push_pop), "us"))
+
+
+def routing(rows: list[tuple[str, Any, float, str]]) -> None:
+    weights = frozenset({("model", "m", "v1")})
+    for count in (12, 100, 800):
+        pool = Pool()
+        for n in range(count):
+            row = UpstreamRow(f"a{n}", "m", "r1", "d1", linked=True)
+            row.report("live", n % 8, 0, 8, 0.0)
+            row.weights = weights
+            pool.add(row)
+        rng = random.Random(1)
+        req = RouteRequest("m", "r1", weights, prefixes=(1, 2, 3))
+        spent = timed(
+            2000, lambda p=pool, q=req, g=rng: choose(p, q, g, Policy.PREFIX_BOUNDED, 1.0)
+        )
+        rows.append(("choice of upstream, by upstreams", count, spent, "us"))
+        size = held(lambda c=count: [UpstreamRow(f"a{n}", "m", "r1", "d1") for n in range(c)])
+        rows.append(("upstream row: memory", count, size / count, "bytes"))
+
+
+def frames(rows: list[tuple[str, Any, float, str]]) -> None:
+    piece = Piece("entry-1-0123456789abcdef", 1, 17, ("abcdef ",))
+    status = Status(1, "m", "engine", "live", 3, 0, 8, 7, (("model", "m", "v1"),), 100.0)
+    blob = Blob(b"d" * 32, bytes(256 << 10))
+    for name, msg, repeat in (
+        ("Piece", piece, 5000),
+        ("Status", status, 5000),
+        ("Blob", blob, 200),
+    ):
+        frame = encode(msg)
+        decoder = FrameDecoder()
+        rows.append(
+            (f"frame {name}: encode", len(frame), timed(repeat, lambda m=msg: encode(m)), "us")
+        )
+        spent = timed(repeat, lambda d=decoder, f=frame: d.feed(f))
+        rows.append((f"frame {name}: decode", len(frame), spent, "us"))
+
+
+def exchange(rows: list[tuple[str, Any, float, str]]) -> None:
+    for chunks, peers in ((250, 10), (2500, 30)):
+        digests = [n.to_bytes(32, "big") for n in range(chunks)]
+        plan = Exchange("self", "r1", "r1", BlobStore(), random.Random(1))
+        ids = [f"p{n}" for n in range(peers)]
+        plan.set_agents({"r1": ["self", *ids]})
+        plan.want(digests)
+        rng = random.Random(2)
+        for peer_id in ids:
+            plan.peer_up(peer_id, "r1")
+            plan.peer_has(peer_id, rng.sample(digests, chunks // 3))
+        now = 1.0
+        spent = 0.0
+        calls = 0
+        left = set(digests)
+        while left and calls < 400:
+            begin = time.process_time()
+            commands = plan.plan(now)
+            spent += time.process_time() - begin
+            calls += 1
+            for command in commands:
+                if isinstance(command, FetchFromPeer | FetchFromOrigin):
+                    source = command.peer_id if isinstance(command, FetchFromPeer) else "origin"
+                    plan.arrived(command.digest, source, now)
+                    left.discard(command.digest)
+            now += 0.01
+        rows.append(("exchange: one plan, by chunks", chunks, spent / calls * 1e6, "us"))
+
+
+def notes(rows: list[tuple[str, Any, float, str]]) -> None:
+    def record(n: int) -> dict[str, Any]:
+        release = {
+            "kind": "model",
+            "name": f"model-{n % 200}",
+            "version": f"v{n}",
+            "manifest": n.to_bytes(32, "big").hex(),
+            "size": 1,
+            "places": ["*"],
+            "workspaces": ["*"],
+        }
+        note = {"schema": 1, "id": f"n{n}", "base": n, "author": "a", "message": "m"}
+        return {"offset": n, "time": 1.0 + n, "id": f"n{n}", "data": {**note, "set": [release]}}
+
+    records = [record(n) for n in range(4300)]
+
+    def fold() -> Ledger:
+        ledger = Ledger()
+        for item in records:
+            ledger.apply(item)
+        return ledger
+
+    rows.append(("notes: fold one note", 4300, timed(1, fold) / 4300, "us"))
+    rows.append(("notes: memory for a day of notes", 4300, held(fold), "bytes"))
+
+
+def main() -> int:
+    """Runs all parts and writes `out/micro.json`."""
+    rows: list[tuple[str, Any, float, str]] = []
+    for part in (vm_list, claims, queue, routing, frames, exchange, notes):
+        part(rows)
+    print(table("Decision code", ("figure", "size", "value", "unit"), rows))
+    write_json("micro", {"rows": rows})
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fescuechute/agent/_daemon.py
+++ b/fescuechute/agent/_daemon.py
@@ -109,6 +109,11 @@
 
     # Systems.
 
+    def busy(self) -> bool:
+        """Whether requests are in flight or a switch is under way."""
+        moving = self.weights is not None and self.weights.moving
+        return not self.table.idle or self.draining or moving
+
     def on_tick(self, now: float) -> None:
         """Runs the systems of the agent."""
         self.table.expire(now)
@@ -188,6 +193,7 @@
     @_handle.register
     def _(self, msg: wire.Generate, peer_id: str) -> None:
         now = self.clock.now()
+        self.wake()
         reason = self._refusal(msg)
         if reason is not None:
             self.table.refuse(peer_id, msg, reason, now)
--- a/fescuechute/agent/_weights.py
+++ b/fescuechute/agent/_weights.py
@@ -75,6 +75,11 @@
         """Confirmed (kind, name, version) triples that may be served."""
         return frozenset(weight.triple for weight in self.switch.serving or ())
 
+    @property
+    def moving(self) -> bool:
+        """Whether the engine is not yet at what the note in force declares."""
+        return bool(self._missing) or self.switch.state is not SwitchState.LIVE
+
     def progress(self) -> dict[str, object]:
         """Returns what the status page shows."""
         return {
--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -15,6 +15,7 @@
 from fescuechute.entry._upstreams import UpstreamTable
 from fescuechute.entry._validate import Validator
 from fescuechute.errors import Reason, RefusedError
+from fescuechute.membership import assigned_agents
 from fescuechute.node import Node
 from fescuechute.routing import Policy, RetryBudget
 from fescuechute.settings import Settings
@@ -82,10 +83,20 @@
         if self.draining and self._may_close(now):
             self.close()
 
+    def busy(self) -> bool:
+        """Whether requests are in flight."""
+        return bool(self.dispatcher.rows or self.claims.unsettled or self.draining)
+
     def vms_changed(self) -> None:
-        """Keeps a link to each live agent."""
-        listed = {row.id for row in self.directory.agents()}
-        for row in self.directory.agents():
+        """Keeps links to the agents that this entry is assigned to."""
+        proc = self.cfg.process
+        agents = self.directory.agents()
+        per_agent = self.cfg.entry.entries_per_agent
+        assigned = assigned_agents(
+            proc.id, proc.region, self.directory.entries(), agents, per_agent
+        )
+        listed = {row.id for row in assigned}
+        for row in assigned:
             self.hub.connect(row.id, row.address, row.link_port)
         for agent_id in [name for name in self.upstreams.rows if name not in listed]:
             self.hub.disconnect(agent_id)
@@ -141,6 +152,7 @@
     def _on_request(self, http: HttpRequest, responder: Responder) -> None:
         request_id = f"{self.cfg.process.id}-{secrets.token_hex(8)}"
         self._last_request_at = self.clock.now()
+        self.wake()
         try:
             self._serve(http, responder, request_id)
         except RefusedError as exc:
--- a/fescuechute/membership/__init__.py
+++ b/fescuechute/membership/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from fescuechute.membership._directory import Directory, ListChange
-from fescuechute.membership._peers import choose_peers
+from fescuechute.membership._peers import assigned_agents, choose_peers
 from fescuechute.membership._rendezvous import duty_holders, rendezvous
 from fescuechute.membership._rows import VmRow, parse_row
 
@@ -15,6 +15,7 @@
     "Directory",
     "ListChange",
     "VmRow",
+    "assigned_agents",
     "choose_peers",
     "duty_holders",
     "parse_row",
--- a/fescuechute/membership/_peers.py
+++ b/fescuechute/membership/_peers.py
@@ -38,6 +38,37 @@
     return peers
 
 
+def assigned_agents(
+    entry_id: str, region: str, entries: Iterable[VmRow], agents: Iterable[VmRow], per_agent: int
+) -> list[VmRow]:
+    """Returns the agents that an entry keeps links to.
+
+    Each agent is assigned to `per_agent` entries: to all of them when there are no more, otherwise
+    to one outside its region, for the time when its region has lost its entries, and the rest
+    inside. Choosing entries for each agent, rather than agents for each entry, leaves no agent
+    without a link.
+    """
+    places = {entry_id: region, **{entry.id: entry.region for entry in entries}}
+    if len(places) <= per_agent:
+        return list(agents)
+    inside: dict[str, list[str]] = {}
+    for name, place in places.items():
+        inside.setdefault(place, []).append(name)
+    assigned = []
+    for agent in agents:
+        near = inside.get(agent.region, [])
+        key = f"entries/{agent.id}"
+        if region == agent.region:
+            mine = entry_id in rendezvous(key, near, per_agent - 1)
+        else:
+            far = [name for name, place in places.items() if place != agent.region]
+            wanted = 1 if near else per_agent
+            mine = entry_id in rendezvous(key, far, wanted)
+        if mine:
+            assigned.append(agent)
+    return assigned
+
+
 def _successor(process_id: str, others: list[str]) -> list[str]:
     if not others:
         return []
--- a/fescuechute/net/_loop.py
+++ b/fescuechute/net/_loop.py
@@ -44,6 +44,7 @@
         #: Due time, tie breaker and function of each pending call.
         self._pending: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
+        self._interval_s = interval_s
         self._timer = Timer(interval_s, tick(), self.channel, persist=True).register(self)
 
     def add(self, owner: SocketOwner) -> None:
@@ -56,6 +57,12 @@
         """Calls a function once, at a unix time, for what cannot wait until the next tick."""
         heapq.heappush(self._pending, (at, next(self._order), function))
 
+    def set_interval(self, interval_s: float) -> None:
+        """Changes the tick interval; the next tick comes within the new one."""
+        if interval_s != self._interval_s:
+            self._interval_s = interval_s
+            self._timer.reset(interval_s)
+
     def run_until_closed(self) -> None:
         """Runs in the calling thread until `close`."""
         # A caller that goes away must not end the process.
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -22,6 +22,10 @@
 #: Processes of a data centre that read the log. Two, so that one may fail unnoticed.
 LOG_READERS = 2
 
+#: Tick interval in seconds while nothing is in flight. Ticks are most of what an idle process costs;
+#: heartbeats and status go out every 0.5 s and silence is noticed after 2 s.
+IDLE_TICK_S = 0.2
+
 
 class Node:
     """Links, platform access, membership, notes and crash reports of one process.
@@ -124,12 +128,22 @@
         self.log.info("Closed {}.", self.cfg.process.id)
         self.loop.close()
 
+    def busy(self) -> bool:
+        """Whether requests are in flight, so that ticks must not be sparse."""
+        return False
+
+    def wake(self) -> None:
+        """Returns to the configured tick interval; called when work arrives."""
+        self.loop.set_interval(self.cfg.tick.interval_ms / 1000)
+
     def _tick(self, now: float) -> None:
         self._guard(self.vms.tick, now)
         self._guard(self.notes.tick, now)
         self._guard(self.hub.tick, now)
         self._guard(self.http.tick, now)
         self._guard(self.on_tick, now)
+        if not self.busy():
+            self.loop.set_interval(max(IDLE_TICK_S, self.cfg.tick.interval_ms / 1000))
 
     def _guard(self, system: Callable[[float], None], now: float) -> None:
         """Keeps a fault in one system from stopping the others; it is logged and counted."""
--- a/fescuechute/node/_vms.py
+++ b/fescuechute/node/_vms.py
@@ -7,8 +7,11 @@
 from fescuechute.membership import Directory
 from fescuechute.net import Clock, HttpClient, HttpResult
 
-#: Seconds between polls. The list itself lags by more; links show liveness sooner.
+#: Shortest time between polls in seconds. The list lags by more, and links show liveness sooner.
 POLL_EVERY_S = 1.0
+#: Bytes a second that polls may take. The list has about 220 bytes for each VM and is always read
+#: whole, so a long list is read less often; a node may spend 23 KB/s on control in all.
+POLL_BYTES_S = 8_000
 
 
 class VmListPoller:
@@ -46,5 +49,6 @@
             self._count("vms.unavailable")
             return
         now = self._clock.now()
+        self._next_poll_at = now + max(POLL_EVERY_S, len(result.body) / POLL_BYTES_S)
         self._directory.apply_list(body["vms"], float(body.get("as_of", now)), now)
         self._on_change()
--- a/fescuechute/settings/_tables.py
+++ b/fescuechute/settings/_tables.py
@@ -131,6 +131,9 @@
 
     max_body_bytes: int = attrs.field(default=1_048_576, metadata=checked(Whole(1)))
     max_tokens: int = attrs.field(default=4096, metadata=checked(Whole(1)))
+    #: Entries that keep a link to each agent, by rendezvous hashing; all of them when there are no
+    #: more. It bounds what links cost on both sides.
+    entries_per_agent: int = attrs.field(default=64, metadata=checked(Whole(2)))
     #: How an upstream is chosen.
     policy: str = attrs.field(
         default="prefix_bounded",
