--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -256,3 +256,17 @@
     attempt = case.submit(case.a)
     with pytest.raises(ValueError, match="in use"):
         case.a.table.submit(attempt.call_id, case.scope, "d", "book", START, START + 1)
+
+
+def test_claim_that_takes_effect_past_the_window(case):
+    """A claim held back until its key is forgotten must not execute the call again."""
+    case.sent(case.a)
+    late = case.submit(case.b, timeout_s=1000.0)
+    case.rounds(case.b, count=2, append="hang", read="hang")
+    case.world.now += 75.0
+    case.scope = Scope("acme", "bookings", Key.parse(f"{round(case.world.now * 1000)}-booking_2"))
+    case.sent(case.a)
+    case.rounds(case.b, count=4, append="hang", pause_s=0.06)
+    case.rounds(case.b)
+    refused(late, Reason.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    assert late.place == ""
--- a/tests/claims/test_claims_machine.py
+++ b/tests/claims/test_claims_machine.py
@@ -132,6 +132,20 @@
             self.world.now += pause_s
             self.step(index, append, read)
 
+    @rule(index=pick, key=pick, pause_s=pauses)
+    def submit_and_hold_back(self, index, key, pause_s):
+        """The append of a claim takes effect long after it was issued, behind newer keys."""
+        self.submit(index, key, 1000.0, other_content=1)
+        for _ in range(2):
+            self.world.now += 0.01
+            self.step(index, "hang", "hang")
+        self.world.now += pause_s
+        self._new_scope(0.0)
+        self.submit_and_send(index + 1, 0, 20.0)
+        self.step(index, "hang", "ok")
+        self.step(index, "hang", "ok")
+        self.progress(index, 2, passing_on=True)
+
     @rule(index=pick)
     def pass_on(self, index):
         entry = self._entry(index)
