--- a/tests/claims/test_claims_machine.py
+++ b/tests/claims/test_claims_machine.py
@@ -26,12 +26,12 @@
 
 pick = st.integers(0, 7)
 append_fates = st.sampled_from(
-    ["ok", "ok", "ok", "hang", "hang_applied", "refused", "lost", "lost_applied", "lost_delayed"]
+    ["ok", "ok", "hang", "hang_applied", "refused", "lost"] + ["lost_applied", "lost_delayed"] * 2
 )
 read_fates = st.sampled_from(["ok", "ok", "ok", "hang", "failed"])
 timeouts = st.sampled_from([0.5, 20.0, 1000.0])
-ages = st.sampled_from([0.0, 0.0, 0.0, 4.0, 50.0, 59.0, -4.0, -15.0, 61.0])
-clocks = st.sampled_from([0.0, 0.0, 2.0, -2.0, 20.0, -20.0])
+ages = st.sampled_from([0.0, 0.0, 4.0, 50.0, 59.0, -4.0, -15.0, -15.0, 61.0])
+clocks = st.sampled_from([0.0, 2.0, -2.0, 20.0, 20.0, -20.0])
 pauses = st.sampled_from([0.01, 0.01, 0.3, 3.0, 30.0, 75.0])
 
 
