--- a/tests/claims/test_claims_machine.py
+++ b/tests/claims/test_claims_machine.py
@@ -26,12 +26,12 @@
 
 pick = st.integers(0, 7)
 append_fates = st.sampled_from(
-    ["ok", "ok", "ok", "hang", "hang_applied", "refused", "lost", "lost_applied", "lost_delayed"]
+    ["ok", "ok", "hang", "hang_applied", "refused", "lost"] + ["lost_applied", "lost_delayed"] * 2
 )
 read_fates = st.sampled_from(["ok", "ok", "ok", "hang", "failed"])
 timeouts = st.sampled_from([0.5, 20.0, 1000.0])
-ages = st.sampled_from([0.0, 0.0, 0.0, 4.0, 50.0, 59.0, -4.0, -15.0, 61.0])
-clocks = st.sampled_from([0.0, 0.0, 2.0, -2.0, 20.0, -20.0])
+ages = st.sampled_from([0.0, 0.0, 4.0, 50.0, 59.0, -4.0, -15.0, -15.0, 61.0])
+clocks = st.sampled_from([0.0, 2.0, -2.0, 20.0, 20.0, -20.0])
 pauses = st.sampled_from([0.01, 0.01, 0.3, 3.0, 30.0, 75.0])
 
 
@@ -132,6 +132,20 @@
             self.world.now += pause_s
             self.step(index, append, read)
 
+    @rule(index=pick, key=pick, pause_s=pauses)
+    def submit_and_hold_back(self, index, key, pause_s):
+        """The append of a claim takes effect long after it was issued, behind newer keys."""
+        self.submit(index, key, 1000.0, other_content=1)
+        for _ in range(2):
+            self.world.now += 0.01
+            self.step(index, "hang", "hang")
+        self.world.now += pause_s
+        self._new_scope(0.0)
+        self.submit_and_send(index + 1, 0, 20.0)
+        self.step(index, "hang", "ok")
+        self.step(index, "hang", "ok")
+        self.progress(index, 2, passing_on=True)
+
     @rule(index=pick)
     def pass_on(self, index):
         entry = self._entry(index)
