--- /dev/null
+++ b/tests/weights/test_swarm.py
@@ -0,0 +1,118 @@
+"""Swarm of exchanges: guards against needless copies and agents that never complete.
+
+Runs many exchanges over the link model of `bench.swarm`. The bounds are the targets of section 8 of
+the design page.
+"""
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from bench.swarm import Stall, Swarm, SwarmConfig
+
+REGIONS = ("norte", "centro", "sur")
+#: Targets of the design page.
+RATIO = 1.3
+ORIGIN_COPIES = 1.1
+ORIGIN_COPIES_UNDER_FAULTS = 1.25
+#: Model seconds by which everyone must be complete whatever fails: ten times the time in which the
+#: origin's link alone carries a copy, plus two blocks of a minute.
+LIMIT_S = 10 * 30.0 + 2 * 60.0
+
+
+def config(vms=12, chunks=150, **changes):
+    regions = dict.fromkeys(REGIONS, vms // 3)
+    return SwarmConfig(regions=regions, sizes=(256 << 10,) * chunks, **changes)
+
+
+@pytest.mark.parametrize("vms", [12, 24])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_targets_without_faults(vms, seed):
+    """Guards against more than one copy into a region, and against slow distribution."""
+    result = Swarm(config(vms, 300, seed=seed)).run(LIMIT_S)
+    assert result.finished
+    assert result.entries_max == 1
+    assert result.origin_copies <= ORIGIN_COPIES
+    assert result.ratio <= RATIO
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_origin_copies_under_the_stated_faults(seed):
+    """Guards against faults that send agents back to the origin."""
+    faults = {
+        "kills": ((10.0, 1), (20.0, 10)),
+        "stalls": (Stall(15.0, 2, 3, float("inf")),),
+        "corrupt": 0.02,
+    }
+    result = Swarm(config(12, 300, seed=seed, **faults)).run(LIMIT_S)
+    assert result.finished
+    assert result.origin_copies <= ORIGIN_COPIES_UNDER_FAULTS
+
+
+#: Without shrinking: one example takes seconds, and the printed one runs again as it is.
+QUICK = settings(
+    max_examples=8,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+
+@QUICK
+@given(seed=st.integers(0, 10_000), vms=st.sampled_from([3, 6, 12, 15]))
+def test_each_chunk_enters_a_region_once_without_faults(seed, vms):
+    """Guards against takeovers while the designated agents do their work."""
+    result = Swarm(config(vms, seed=seed)).run(LIMIT_S)
+    assert result.finished
+    assert result.entries_max == 1
+    assert result.origin_copies <= ORIGIN_COPIES
+
+
+@QUICK
+@given(
+    seed=st.integers(0, 10_000),
+    first=st.integers(0, 11),
+    second=st.integers(0, 11),
+    at=st.floats(1.0, 60.0),
+    a=st.integers(0, 11),
+    offset=st.integers(1, 11),
+    reconnects=st.booleans(),
+)
+def test_stated_faults_anywhere(seed, first, second, at, a, offset, reconnects):
+    """Guards against a fault at an unlucky VM or moment that costs a copy of the weights."""
+    stall = Stall(at, a, (a + offset) % 12, at if reconnects else float("inf"))
+    faults = {"kills": ((at, first), (at + 5.0, second)), "stalls": (stall,), "corrupt": 0.02}
+    result = Swarm(config(seed=seed, **faults)).run(LIMIT_S)
+    assert result.finished
+    assert result.origin_copies <= ORIGIN_COPIES_UNDER_FAULTS
+
+
+@QUICK
+@given(
+    seed=st.integers(0, 10_000),
+    liars=st.sets(st.integers(0, 11), max_size=2),
+    kills=st.lists(st.tuples(st.floats(0.1, 80.0), st.integers(0, 11)), max_size=4),
+    corrupt=st.sampled_from([0.0, 0.02, 0.1]),
+    origin_out=st.sampled_from([(0.0, 0.0), (0.0, 60.0), (20.0, 80.0)]),
+)
+def test_everyone_completes_whatever_fails(seed, liars, kills, corrupt, origin_out):
+    """Guards against agents that give up or wait for each other."""
+    result = Swarm(
+        config(
+            chunks=90,
+            seed=seed,
+            liars=tuple(sorted(liars)),
+            kills=tuple(kills),
+            corrupt=corrupt,
+            origin_out=origin_out,
+        )
+    ).run(LIMIT_S)
+    assert result.finished
+
+
+def test_equal_seeds_give_equal_runs():
+    """Guards against runs that a printed seed does not reproduce."""
+    changes = {"seed": 7, "corrupt": 0.02, "kills": ((10.0, 1),)}
+    first, second = (Swarm(config(6, 60, **changes)).run(LIMIT_S) for _ in range(2))
+    assert first == second
--- a/tests/weights/test_switch.py
+++ b/tests/weights/test_switch.py
@@ -151,6 +151,7 @@
         assert bench.engine.order(bench.held[0]) == 409
     else:
         assert bench.switch.serving is None, "the earlier order may still overtake the next one"
+        assert kinds(bench.log).count(SendOrder) == 1, "the next order waits for the earlier one"
         bench.engine.staged |= set(OLD.blobs)
         assert bench.engine.order(bench.held[0]) == 200
         bench.switch.order_result(bench.held[0].order_id, 200, bench.now)
