--- a/fescuechute/weights/_peers.py
+++ b/fescuechute/weights/_peers.py
@@ -26,6 +26,9 @@
     #: Bounds of measured deadlines.
     fetch_min_s: float = 5.0
     fetch_max_s: float = 60.0
+    #: Lower bound for fetches into the region. All agents share the links between regions, so single
+    #: fetches take several times the mean, and giving one up too early brings a chunk in twice.
+    entering_min_s: float = 10.0
     #: Time without a new chunk from a designated agent after which the next rank may fetch.
     entry_s: float = 6.0
     #: Time after a lost link from which on chunks of that agent at others show that it is at work;
@@ -163,6 +166,8 @@
     """Deadlines of fetches from measured durations, as TCP does for its retransmission timer."""
 
     limits: ExchangeLimits
+    #: Lower bound of the deadlines in seconds.
+    least_s: float
     _mean: float = 0.0
     _deviation: float = 0.0
     _scale: float = 1.0
@@ -183,8 +188,7 @@
     def allowance(self) -> float:
         """Returns the seconds to allow for the next fetch."""
         base = self._mean + 4 * self._deviation if self._mean else self.limits.fetch_s
-        low, high = self.limits.fetch_min_s, self.limits.fetch_max_s
-        return min(high, max(low, base) * self._scale)
+        return min(self.limits.fetch_max_s, max(self.least_s, base) * self._scale)
 
     @property
     def mean(self) -> float:
--- a/fescuechute/weights/_table.py
+++ b/fescuechute/weights/_table.py
@@ -40,7 +40,11 @@
         #: Fetches in flight, and those of them into the region.
         self.in_flight = 0
         self.entering = 0
-        self.durations = {kind: Durations(limits) for kind in ("local", "foreign", ORIGIN)}
+        self.durations = {
+            "local": Durations(limits, limits.fetch_min_s),
+            "foreign": Durations(limits, limits.entering_min_s),
+            ORIGIN: Durations(limits, limits.entering_min_s),
+        }
 
     def source(self, source: str) -> SourceRow | None:
         """Returns the row of a peer or of the origin."""
