--- a/fescuechute/weights/_exchange.py
+++ b/fescuechute/weights/_exchange.py
@@ -254,7 +254,8 @@
             source = self._entry_source(row, now)
             if source is None:
                 continue
-            if source.id == ORIGIN or source.region == self._designation.preferred_region(digest):
+            preferred = self._designation.preferred_region(digest)
+            if source.region in ("", preferred):
                 return self._table.start(row, source, now)
             if second is None:
                 second = (row, source)
@@ -264,10 +265,11 @@
         usable = self._table.usable(row.foreign, row, now)
         origin = self._table.origin
         if self._designation.enters_from_origin:
-            if origin.usable(now, self._limits.per_source):
-                return origin
-            # A backed-off origin is no reason to wait while another region holds the chunk.
-            return self._table.pick(usable, self._rng) if usable and origin.failures else None
+            if usable and (row.taken_over or origin.failures):
+                # The designated agent may have drawn the chunk already, or the origin is out;
+                # another region that holds it spares a further origin copy or the wait.
+                return self._table.pick(usable, self._rng)
+            return origin if origin.usable(now, self._limits.per_source) else None
         if usable:
             preferred = self._designation.preferred_region(row.digest)
             near = [peer for peer in usable if peer.region == preferred]
