--- a/bench/exchange.py
+++ b/bench/exchange.py
@@ -22,7 +22,8 @@
 import attrs
 
 from bench.policies import AnyRegion, Chain, ChunkFirst, OriginOnly, RandomExchange
-from bench.swarm import Stall, Swarm, SwarmConfig, SwarmResult
+from bench.swarm import Swarm
+from bench.swarm_config import Stall, SwarmConfig, SwarmResult
 from fescuechute.weights import Exchange, ExchangeLimits
 
 CHUNKS = 300
--- a/tests/weights/test_swarm.py
+++ b/tests/weights/test_swarm.py
@@ -8,7 +8,8 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from bench.swarm import Stall, Swarm, SwarmConfig
+from bench.swarm import Swarm
+from bench.swarm_config import Stall, SwarmConfig
 
 REGIONS = ("norte", "centro", "sur")
 #: Targets of the design page.
