Read a lost append back before treating the log as down

Cause: one append whose answer was lost marked the log as down, so every booking in flight at that entry was refused although the next read, sent at once, would have found the claims. Excluded: appends that the log leaves unanswered until the deadline on silence; these still count as an outage, because a read would wait as long again. Change: a connection that ends without an answer only starts the read-back.

--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -204,7 +204,9 @@
             certain = (not result.error and result.status in (429, 503)) or not result.sent
             self._node.count("log.append_refused" if certain else "log.append_unknown")
             self._table.append_failed(command.partition, command.batch_id, certain)
-            if result.status != 429:
+            # One lost answer does not show that the log is out; the read that follows at once does.
+            lost_answer = result.sent and not result.status and not result.silent
+            if result.status != 429 and not lost_answer:
                 self._table.log_down(now)
         self.run(now)
 
