Tell a caller "not run" when the agent released its booking after losing the link

Cause: an agent that loses the link drops waiting calls and now releases their claims, but the entry still waited 5 s for an outcome and then answered "unknown" about a call that the log shows as not run. Excluded: asking the agent again over a new link; the log already holds the answer. Change: the claim table ends a lost call whose claim was released as upstream_lost, not run. Before/after: the waiting booking of test_links_reset_while_bookings_run_and_wait was answered outcome_unknown; now upstream_lost, not run, within 2 s. The claims machine passes.

--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -186,7 +186,8 @@
     def lost(self, call_id: str) -> None:
         """Notes that an agent may have run the call and its link is gone.
 
-        The agent appends the outcome itself, so the call waits a little for it.
+        The agent appends the outcome, or a release if it never started the call, so the call waits
+        a little for either.
         """
         row = self._rows.get(call_id)
         if row is None or row.state not in (CallState.SENDING, CallState.SENT):
@@ -247,6 +248,12 @@
         return commands
 
     def _step_sent(self, row: CallRow) -> None:
+        if row.state is CallState.LOST and self.view(row.scope).is_released(row.claim_id):
+            # The agent dropped the call before it started, and released the claim.
+            retry_at = self._now + self._cfg.refusal_retry_s
+            self._close(row, Refuse(row.call_id, Reason.UPSTREAM_LOST, Ran.NOT_RUN, retry_at))
+            del self._rows[row.call_id]
+            return
         if row.closed:
             if self._now > row.scope.key.at + self._cfg.window_s + self._cfg.margin_s:
                 del self._rows[row.call_id]
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -94,6 +94,31 @@
     verify(run(scenario()), "queued at an agent")
 
 
+def test_links_reset_while_bookings_run_and_wait(fleet):
+    """A caller must get the outcomes that the agent records, and a true "not run" for the rest."""
+    system = start_bookings(fleet, replicas=1, work_ms=900, slots=4, proxy_links=True)
+    replica = system.replicas[0]
+
+    async def scenario():
+        async with Caller() as caller:
+            port = system.entries[0].port
+            keys = [caller.new_key(f"reset{n}") for n in range(5)]
+            sent = [asyncio.create_task(caller.call(port, key, timeout_s=6)) for key in keys[:4]]
+            await look(lambda: running(system) == 4, 5, "four running bookings")
+            sent.append(asyncio.create_task(caller.call(port, keys[4], timeout_s=6)))
+            agent = replica.agent.http_port
+            await look(
+                lambda: http_json("GET", agent, "/v1/status")[1]["queued"] == 1, 5, "one queued"
+            )
+            set_faults(system.proxies[replica.agent_id].control_port, reset=True)
+            seen = await asyncio.gather(*sent)
+            assert all(row.answered for row in seen[:4]), seen
+            assert seen[4].ran == "not_run" and seen[4].took_s < 2, seen[4]
+            return await settle(system, caller, system.entries[1].port)
+
+    verify(run(scenario()), "links reset")
+
+
 @pytest.mark.parametrize(
     ("stage", "timeout_s"),
     [
