Send no byte of a message that the link refuses

Cause: `LinkHub.send` wrote the message, then returned False when more than 16 MiB waited. The link was closed only at the next tick, so a peer that resumed reading in between got the message, while the entry took it as not sent and sent the call to another agent. Excluded: closing at once, which would re-enter the handler of the caller. Change: the limit is checked before the write; the buffer can exceed it by one frame of 1 MiB.

--- a/fescuechute/net/_links.py
+++ b/fescuechute/net/_links.py
@@ -106,15 +106,15 @@
         return set(self._targets)
 
     def send(self, peer_id: str, msg: Message) -> bool:
-        """Sends a message; False when there is no usable link."""
+        """Sends a message; False when there is no usable link, and then no byte of it is sent."""
         row = self.links.get(peer_id)
         if row is None or not row.conn.is_open:
             return False
-        row.conn.write(encode(msg))
         if row.conn.buffered > MAX_BUFFERED_BYTES:
             self._handler.count("links.write_buffer_full")
             self.fail_later(row.conn, "the peer does not read")
             return False
+        row.conn.write(encode(msg))
         return True
 
     def broadcast(self, msg: Message, role: str = "") -> None:
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -1,5 +1,6 @@
 """Links: guards against lost messages, silent connections and peers that send garbage."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -7,7 +8,7 @@
 import pytest
 
 from fescuechute.net import LinkHub, Loop, SystemClock
-from fescuechute.wire import PROTOCOL_VERSION, Cancel, Hello, Piece, encode
+from fescuechute.wire import PROTOCOL_VERSION, Cancel, FrameDecoder, Hello, Piece, encode
 
 DEADLINE_S = 10.0
 
@@ -87,6 +88,28 @@
     assert a.messages == [Cancel("r", 1)]
 
 
+def test_refused_message_never_reaches_a_peer_that_reads_late(peers):
+    """A call sent elsewhere after `send` returned False must not run here as well."""
+    a = peers("a")
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        a.hub.connect("b", *server.getsockname())
+        start(a)
+        conn, _ = server.accept()
+        with conn:
+            conn.sendall(encode(Hello(PROTOCOL_VERSION, "b", "agent", "r1", "d1", "boot-b")))
+            wait_for(lambda: a.up, "the link")
+            numbers = iter(range(1000))
+            filler = ("x" * 500_000,)
+            number = next(n for n in numbers if not a.hub.send("b", Piece("r", 1, n, filler)))
+            decoder, seen = FrameDecoder(), []
+            conn.settimeout(DEADLINE_S)
+            with contextlib.suppress(ConnectionResetError):
+                while data := conn.recv(1 << 20):
+                    seen += [m.seq for m in decoder.feed(data) if isinstance(m, Piece)]
+    assert number not in seen
+    assert "links.write_buffer_full" in a.counters
+
+
 def test_silent_connection_is_dropped_within_three_seconds_and_replaced(peers):
     """A middlebox that lost the connection must not stop the work for longer than 3 s."""
     a = peers("a")
