--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -161,6 +161,36 @@
     assert all(row.answered for row in evidence.final), evidence.summary()
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("frozen", ["entry", "agent"])
+def test_process_frozen_in_the_middle_of_bookings(fleet, frozen, seed):
+    """What a thawed process still holds must not run a booking that others have answered."""
+    system = start_bookings(fleet, replicas=2, work_ms=100)
+    ports = [entry.port for entry in system.entries]
+    rng = random.Random(seed)
+    process = (system.entries[0].process, system.replicas[0].agent)[frozen == "agent"]
+
+    async def booking(caller, number):
+        key = caller.new_key(f"{frozen}{number}")
+        seen = await caller.call(rng.choice(ports), key, timeout_s=2)
+        if not seen.answered:
+            await caller.call_until_known(ports[::-1], key, tries=2, timeout_s=3)
+
+    async def scenario():
+        async with Caller() as caller:
+            tasks = asyncio.create_task(caller.paced(80, 40, rng, lambda n: booking(caller, n)))
+            await asyncio.sleep(0.4 + 0.4 * rng.random())
+            process.freeze()
+            # Longer than the silence after which links are dropped.
+            await asyncio.sleep(2.6)
+            process.thaw()
+            await asyncio.gather(*await tasks)
+            await asyncio.to_thread(system.wait_services)
+            return await settle(system, caller, ports[1])
+
+    verify(run(scenario()), f"{frozen} frozen", seed)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_two_entries_get_the_same_key_at_the_same_moment(fleet, seed):
     """One key sent to two entries at once must run once and be answered alike by both."""
