--- a/tests/integration/test_at_most_once_log.py
+++ b/tests/integration/test_at_most_once_log.py
@@ -42,7 +42,7 @@
             tasks = asyncio.create_task(caller.paced(150, 50, rng, lambda n: booking(caller, n)))
             await asyncio.sleep(0.7)
             set_faults(system.log.port, down=True)
-            for number in range(20):
+            for number in range(35):
                 assert (await lookups.call(ports[number % 2], "")).answered
                 await asyncio.sleep(0.05)
             set_faults(system.log.port, down=False)
