--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -94,6 +94,31 @@
     verify(run(scenario()), "queued at an agent")
 
 
+def test_links_reset_while_bookings_run_and_wait(fleet):
+    """A caller must get the outcomes that the agent records, and a true "not run" for the rest."""
+    system = start_bookings(fleet, replicas=1, work_ms=900, slots=4, proxy_links=True)
+    replica = system.replicas[0]
+
+    async def scenario():
+        async with Caller() as caller:
+            port = system.entries[0].port
+            keys = [caller.new_key(f"reset{n}") for n in range(5)]
+            sent = [asyncio.create_task(caller.call(port, key, timeout_s=6)) for key in keys[:4]]
+            await look(lambda: running(system) == 4, 5, "four running bookings")
+            sent.append(asyncio.create_task(caller.call(port, keys[4], timeout_s=6)))
+            agent = replica.agent.http_port
+            await look(
+                lambda: http_json("GET", agent, "/v1/status")[1]["queued"] == 1, 5, "one queued"
+            )
+            set_faults(system.proxies[replica.agent_id].control_port, reset=True)
+            seen = await asyncio.gather(*sent)
+            assert all(row.answered for row in seen[:4]), seen
+            assert seen[4].ran == "not_run" and seen[4].took_s < 2, seen[4]
+            return await settle(system, caller, system.entries[1].port)
+
+    verify(run(scenario()), "links reset")
+
+
 @pytest.mark.parametrize(
     ("stage", "timeout_s"),
     [
@@ -136,6 +161,36 @@
     assert all(row.answered for row in evidence.final), evidence.summary()
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("frozen", ["entry", "agent"])
+def test_process_frozen_in_the_middle_of_bookings(fleet, frozen, seed):
+    """What a thawed process still holds must not run a booking that others have answered."""
+    system = start_bookings(fleet, replicas=2, work_ms=100)
+    ports = [entry.port for entry in system.entries]
+    rng = random.Random(seed)
+    process = (system.entries[0].process, system.replicas[0].agent)[frozen == "agent"]
+
+    async def booking(caller, number):
+        key = caller.new_key(f"{frozen}{number}")
+        seen = await caller.call(rng.choice(ports), key, timeout_s=2)
+        if not seen.answered:
+            await caller.call_until_known(ports[::-1], key, tries=2, timeout_s=3)
+
+    async def scenario():
+        async with Caller() as caller:
+            tasks = asyncio.create_task(caller.paced(80, 40, rng, lambda n: booking(caller, n)))
+            await asyncio.sleep(0.4 + 0.4 * rng.random())
+            process.freeze()
+            # Longer than the silence after which links are dropped.
+            await asyncio.sleep(2.6)
+            process.thaw()
+            await asyncio.gather(*await tasks)
+            await asyncio.to_thread(system.wait_services)
+            return await settle(system, caller, ports[1])
+
+    verify(run(scenario()), f"{frozen} frozen", seed)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_two_entries_get_the_same_key_at_the_same_moment(fleet, seed):
     """One key sent to two entries at once must run once and be answered alike by both."""
@@ -227,9 +282,12 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_agent_drains_while_bookings_arrive(fleet, seed):
     """A planned stop of an agent must lose no booking and tell no untrue refusal."""
-    system = start_bookings(fleet, replicas=2, work_ms=100)
+    system = start_bookings(fleet, replicas=2, work_ms=100, proxy_links=True)
     ports = [entry.port for entry in system.entries]
     rng = random.Random(seed)
+    # Bookings are on their way to the agent while the news of its stop is on its way back.
+    proxy = system.proxies[system.replicas[0].agent_id]
+    set_faults(proxy.control_port, delay_s=0.1)
 
     async def scenario():
         async with Caller() as caller:
@@ -248,3 +306,7 @@
     verify(evidence, "agent draining", seed)
     assert all(row.answered for row in evidence.rows), evidence.summary()
     assert executions(system) == 60
+    refused = sum(
+        system.status(entry)["counters"].get("retried.draining", 0) for entry in system.entries
+    )
+    assert refused > 0, "no booking reached the draining agent"
