--- a/bench/_load.py
+++ b/bench/_load.py
@@ -40,6 +40,7 @@
     ran: str = ""
     version: str = ""
     tokens: int = 0
+    prompt: str = ""
     request_id: str = ""
     key: str = ""
     entry: int = 0
@@ -112,7 +113,7 @@
         now = time.time()
         seen = Seen("generate", rank, workspace, now, now + timeout_s)
         self.rows.append(seen)
-        prompt = prompt or f"prompt {secrets.token_hex(8)}"
+        prompt = seen.prompt = prompt or f"prompt {secrets.token_hex(8)}"
         body = {
             "workspace": workspace,
             "rank": rank,
