Recognise an engine crash while its process goes down or has restarted

Cause: after a connection to the engine ended, the agent asked once for the boot id. A process that is going down can still accept that connection and then reset it, which counted as no crash. The boot id was also compared with the last one read, which may be that of the restarted engine. Excluded: loss of Crash messages between processes; entries had every crash that was reported. Change: each request keeps the boot id of its engine, and the question is asked again, up to 10 times 50 ms apart, while its connections end early. After a silence it waits 0.4 s only, so that the failure is reported within 3 s.

--- a/fescuechute/agent/_engine.py
+++ b/fescuechute/agent/_engine.py
@@ -16,6 +16,15 @@
 #: Seconds without a byte from the engine after which a running request counts as lost. Below the
 #: 3 s in which a connection that went silent for good must be noticed.
 SILENCE_S = 2.5
+#: Seconds for the question whether the engine crashed, after a connection went silent. Together
+#: with SILENCE_S it stays within those 3 s.
+_CAUSE_AFTER_SILENCE_S = 0.4
+#: The same after a connection ended, which is noticed at once.
+_CAUSE_AFTER_END_S = 2.0
+#: Times that the question is asked, and seconds between two of them. A process that is going down
+#: may close a connection while its listener still accepts the next one.
+_CAUSE_TRIES = 10
+_CAUSE_AGAIN_S = 0.05
 
 
 class EngineExecutor:
@@ -26,7 +35,7 @@
         self._table = table
         self._engine = engine
         #: Requests whose connection ended early, while the cause is looked up.
-        self._lost: dict[int, tuple[WorkRow, HttpResult]] = {}
+        self._lost: dict[int, WorkRow] = {}
         self._tokens = 0
         self._rate_since = node.clock.now()
         #: Tokens a second over the last period.
@@ -37,6 +46,7 @@
         msg = row.msg
         assert isinstance(msg, Generate)
         row.count = len(msg.resume)
+        row.boot_id = self._node.engine_boot_id
         body = {
             "request_id": f"{msg.request_id}/{msg.attempt}",
             "prompt": msg.prompt,
@@ -145,34 +155,50 @@
 
     def _look_up_cause(self, row: WorkRow, result: HttpResult) -> None:
         """Asks the engine whether it crashed before anyone is blamed or told."""
-        self._lost[id(row)] = (row, result)
+        self._lost[id(row)] = row
         if len(self._lost) == 1:
-            self._node.http.call("GET", self._engine, "/state", self._cause_known, fresh=True)
+            silent = result.error == "silent"
+            self._ask_cause(_CAUSE_AFTER_SILENCE_S if silent else _CAUSE_AFTER_END_S, 1)
+
+    def _ask_cause(self, silence_s: float, tries: int) -> None:
+        def answered(result: HttpResult) -> None:
+            ended = bool(result.error) and result.sent and result.error != "silent"
+            if ended and tries < _CAUSE_TRIES:
+                again_at = self._node.clock.now() + _CAUSE_AGAIN_S
+                self._node.loop.call_at(again_at, lambda: self._ask_cause(silence_s, tries + 1))
+            else:
+                self._cause_known(result)
+
+        self._node.http.call(
+            "GET", self._engine, "/state", answered, silence_s=silence_s, fresh=True
+        )
 
     def _cause_known(self, result: HttpResult) -> None:
         body = result.json() if result.ok else None
         boot_id = body.get("boot_id") if isinstance(body, dict) else None
-        crashed = boot_id != self._node.engine_boot_id
         # An engine that refuses connections is dead; one that is only slow answers late.
-        crashed = crashed and (result.ok or not result.sent)
-        lost, self._lost = self._lost, {}
-        rows = [row for row, _ in lost.values()]
-        if crashed:
-            others = [row for row in self._table.running.values() if id(row) not in lost]
-            for row in others:
-                if row.call is not None:
-                    self._node.http.cancel(row.call)
-            rows += others
-            self._report_crash(rows)
-        for row in rows:
+        answered = result.ok or not result.sent
+        lost, self._lost = list(self._lost.values()), {}
+        # The engine may have been read back since it restarted, so each request is compared with
+        # the engine that it was sent to.
+        dead = {row.boot_id for row in lost if answered and row.boot_id != boot_id}
+        others = [r for r in self._table.running.values() if r.boot_id in dead and r not in lost]
+        for row in others:
+            if row.call is not None:
+                self._node.http.cancel(row.call)
+        for old in dead:
+            self._report_crash(old, [row for row in lost + others if row.boot_id == old])
+        for row in lost + others:
+            crashed = row.boot_id in dead
             text = "The engine crashed." if crashed else "The engine's answer broke off."
             self._failed(row, Reason.UPSTREAM_LOST, crashed=crashed, text=text)
 
-    def _report_crash(self, rows: list[WorkRow]) -> None:
+    def _report_crash(self, boot_id: str, rows: list[WorkRow]) -> None:
         prints = {row.msg.fingerprint for row in rows if isinstance(row.msg, Generate)}
-        crash_id = f"{self._node.cfg.process.id}/{self._node.engine_boot_id}"
+        crash_id = f"{self._node.cfg.process.id}/{boot_id}"
         crash = Crash(crash_id, tuple(sorted(prints)), self._node.clock.now())
-        self._node.engine_crashed()
+        if boot_id == self._node.engine_boot_id:
+            self._node.engine_crashed()
         self._node.report_crash(crash)
 
 
--- a/fescuechute/agent/_work.py
+++ b/fescuechute/agent/_work.py
@@ -37,6 +37,8 @@
     count: int = 0
     #: Explicit end that the upstream sent.
     end: dict[str, object] | None = None
+    #: Boot id of the engine that it was sent to; empty for calls.
+    boot_id: str = ""
 
     @property
     def key(self) -> WorkKey:
