Cancel a request at the engine when its connection broke off

Cause: the engine does not notice that a silent connection is gone and generates to the end for nobody, in a slot that the agent counts as free. Cancel orders went over pooled connections, which go silent together with that of the request. Change: a request that is given up without a crash is cancelled at the engine, and cancel orders use new connections.

--- a/fescuechute/agent/_engine.py
+++ b/fescuechute/agent/_engine.py
@@ -71,8 +71,14 @@
         """Cancels a request at the engine."""
         if row.call is not None:
             self._node.http.cancel(row.call)
+        self._cancel_at_engine(row)
+
+    def _cancel_at_engine(self, row: WorkRow) -> None:
+        # A pooled connection may have gone silent together with that of the request.
         body = json.dumps({"request_id": f"{row.msg.request_id}/{row.msg.attempt}"}).encode()
-        self._node.http.call("POST", self._engine, "/cancel", lambda _result: None, body=body)
+        self._node.http.call(
+            "POST", self._engine, "/cancel", lambda _result: None, body=body, fresh=True
+        )
 
     def link_down(self, row: WorkRow) -> bool:
         """Model requests end with their entry: it retries them elsewhere."""
@@ -190,6 +196,9 @@
             self._report_crash(old, [row for row in lost + others if row.boot_id == old])
         for row in lost + others:
             crashed = row.boot_id in dead
+            if not crashed:
+                # The engine may not notice that the connection is gone, and would go on.
+                self._cancel_at_engine(row)
             text = "The engine crashed." if crashed else "The engine's answer broke off."
             self._failed(row, Reason.UPSTREAM_LOST, crashed=crashed, text=text)
 
