--- a/fescuechute/node/__init__.py
+++ b/fescuechute/node/__init__.py
@@ -2,6 +2,7 @@
 
 from fescuechute.node._node import Node, pair
 from fescuechute.node._notes import NOTES_STREAM, NoteFollower
+from fescuechute.node._snapshots import SnapshotWriter
 from fescuechute.node._vms import VmListPoller
 
-__all__ = ["NOTES_STREAM", "Node", "NoteFollower", "VmListPoller", "pair"]
+__all__ = ["NOTES_STREAM", "Node", "NoteFollower", "SnapshotWriter", "VmListPoller", "pair"]
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -14,6 +14,7 @@
 from fescuechute.metrics import Metrics
 from fescuechute.net import HttpClient, LinkHub, Loop, SystemClock
 from fescuechute.node._notes import NoteFollower
+from fescuechute.node._snapshots import SNAPSHOT_WRITERS, SnapshotWriter
 from fescuechute.node._vms import VmListPoller
 from fescuechute.routing import Quarantine
 from fescuechute.settings import Address, Settings
@@ -71,6 +72,15 @@
             self.notes_changed,
             self.count,
         )
+        self.snapshots = SnapshotWriter(
+            pair(cfg.platform.log),
+            self.http,
+            self.clock,
+            self.notes,
+            cfg.notes.retention_s,
+            self._snapshot_place,
+            self.count,
+        )
         self.link_port = 0
         self.draining = False
 
@@ -127,6 +137,7 @@
     def _tick(self, now: float) -> None:
         self._guard(self.vms.tick, now)
         self._guard(self.notes.tick, now)
+        self._guard(self.snapshots.tick, now)
         self._guard(self.hub.tick, now)
         self._guard(self.http.tick, now)
         self._guard(self.on_tick, now)
@@ -216,6 +227,13 @@
         holders = duty_holders(f"log-reader/{proc.data_centre}", ids, LOG_READERS)
         return proc.id in holders or not ids
 
+    def _snapshot_place(self) -> int | None:
+        """Returns the place among the holders of the duty, or None."""
+        ids = self.directory.live_ids()
+        holders = duty_holders("snapshot", ids, SNAPSHOT_WRITERS)
+        own = self.cfg.process.id
+        return holders.index(own) if own in holders and not self.draining else None
+
 
 def pair(address: Address) -> tuple[str, int]:
     """Returns an address as the pair that sockets take."""
--- a/fescuechute/node/_notes.py
+++ b/fescuechute/node/_notes.py
@@ -25,6 +25,8 @@
 #: Bytes of records in one message, well below the frame limit.
 _MAX_RECORDS_BYTES = 256 * 1024
 _MAX_RECORDS = 256
+#: Records kept beyond those that a new reader needs, about six hours at the design rate.
+_KEPT_RECORDS = 1024
 
 
 class NoteFollower:
@@ -116,6 +118,8 @@
                 self._report(entry)
         if fresh:
             self._push(fresh)
+            # New readers start at the snapshot, so older records serve only peers slightly behind.
+            self.view.trim(_KEPT_RECORDS, self.ledger.replay_from)
             self._on_change()
 
     def _report(self, entry: HistoryEntry) -> None:
--- a/fescuechute/settings/_tables.py
+++ b/fescuechute/settings/_tables.py
@@ -125,6 +125,15 @@
     gather_ms: float = attrs.field(default=5.0, metadata=checked(Number(0, 1000)))
 
 
+@attrs.frozen
+class NoteSettings:
+    """The stream `notes`."""
+
+    #: Time for which the log keeps records. Snapshots are appended at a quarter of it, so a value
+    #: above the log's own would let notes age out before they are covered.
+    retention_s: float = attrs.field(default=604_800.0, metadata=checked(Number(0, above_low=True)))
+
+
 @attrs.frozen
 class EntrySettings:
     """Limits of an entry."""
@@ -224,6 +233,7 @@
     claims: ClaimSettings = attrs.field(
         factory=ClaimSettings, metadata=checked(Table(ClaimSettings))
     )
+    notes: NoteSettings = attrs.field(factory=NoteSettings, metadata=checked(Table(NoteSettings)))
     entry: EntrySettings = attrs.field(
         factory=EntrySettings, metadata=checked(Table(EntrySettings))
     )
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -61,6 +61,7 @@
         ("background", 0.05, 120_000),
     ]
     assert (cfg.claims.partitions, cfg.claims.window_s, cfg.claims.skew_s) == (4, 600, 5)
+    assert cfg.notes.retention_s == 7 * 24 * 3600
     assert (cfg.retry.budget, cfg.retry.max_attempts) == (0.1, 4)
     assert (cfg.exchange.parallel, cfg.exchange.chunk_timeout_s) == (4, 2.0)
     assert cfg.exchange.upload_bytes_s == cfg.exchange.download_bytes_s == 50_000_000
@@ -112,6 +113,12 @@
     "no ranks": (entry(ranks=[]), "ranks", "at least one"),
     "rank twice": (entry(ranks=[{"name": "a"}, {"name": "a"}]), "ranks[1]", "Keep one"),
     "infinite window": (changed("claims", window_s=float("inf")), "claims.window_s", "above 0"),
+    "no retention": (changed("notes", retention_s=0), "notes.retention_s", "above 0"),
+    "retention in days": (
+        changed("notes", retention_days=7),
+        "notes.retention_days",
+        "retention_s",
+    ),
     "integer beyond floats": (changed("claims", skew_s=10**400), "claims.skew_s", "at least 0"),
     "not a number": (changed("retry", budget=float("nan")), "retry.budget", "from 0 to 1"),
     "weight 0": (entry(workspaces=[{"name": "w", "weight": 0}]), "workspaces[0].weight", "above"),
