Dial an agent again that left and started anew under its id

Cause: an entry kept no link to an agent that had announced that it is leaving for as long as the VM list showed that id. Only a link with another boot id clears the announcement, and only entries dial agents, so an agent restarted under its id stayed unused for good.

Excluded: the agent's Status and the list. The restarted agent was ready and listed with its new port; other agents had links to it.

Change: once the link to an agent that announced its leaving has ended, the entry dials it again while the list shows it live.

--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -84,9 +84,10 @@
 
     def vms_changed(self) -> None:
         """Keeps a link to each live agent."""
-        listed = {row.id for row in self.directory.agents()}
-        for row in self.directory.agents():
+        wanted = self.directory.agents_to_dial()
+        for row in wanted:
             self.hub.connect(row.id, row.address, row.link_port)
+        listed = {row.id for row in wanted}
         for agent_id in [name for name in self.upstreams.rows if name not in listed]:
             self.hub.disconnect(agent_id)
             self.upstreams.forget(agent_id)
--- a/fescuechute/membership/_directory.py
+++ b/fescuechute/membership/_directory.py
@@ -143,6 +143,21 @@
             and region in (None, row.region)
         ]
 
+    def agents_to_dial(self) -> list[VmRow]:
+        """Returns the agents that a link is kept to.
+
+        Besides those of `agents` these are agents that announced that they are leaving and whose
+        link has ended since, while the list still shows them live: the process may have started
+        again under its id, and nothing but a link can tell.
+        """
+        return [
+            row
+            for row in self._rows.values()
+            if row.role == "agent"
+            and row.state == "live"
+            and (row.id not in self._leaving or row.id in self._down)
+        ]
+
     def entries(self) -> list[VmRow]:
         """Returns the entries that are not leaving."""
         return [row for row in self._staying() if row.role == "entry"]
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -100,6 +100,19 @@
     assert directory.live_ids() == ["a1"]
 
 
+def test_process_that_left_is_dialled_again_while_the_list_shows_it_live():
+    """A process restarted under its id must be found again, though nobody but it was told."""
+    directory = Directory()
+    directory.apply_list([_vm("a1"), _vm("a2", state="leaving"), _vm("a3")], 1.0, 1.0)
+    directory.observed_leaving("a1")
+    assert [row.id for row in directory.agents_to_dial()] == ["a3"]
+    directory.observed_down("a1")
+    assert [row.id for row in directory.agents()] == ["a3"]
+    assert [row.id for row in directory.agents_to_dial()] == ["a1", "a3"]
+    directory.observed_up("a1", "boot2")
+    assert [row.id for row in directory.agents()] == ["a1", "a3"]
+
+
 def test_lost_link_takes_a_process_out_of_the_duties():
     """A duty held by a dead process would be held by nobody until the list catches up."""
     directory = Directory()
