Let health checks not prolong the drain of an entry

Cause: every request, also GET /healthz and /v1/status, restarted the second without requests after which a draining entry closes. A load balancer that checks its health more often than that kept it up until the drain timeout.

Excluded: requests in flight and unsettled claims; both were zero.

--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -20,7 +20,7 @@
 from fescuechute.settings import Settings
 from fescuechute.web import CallerServer, HttpRequest, Responder
 
-#: Seconds without a new request before a draining entry closes. A connection accepted just before
+#: Seconds without a new POST request before a draining entry closes. A connection accepted just before
 #: would otherwise be reset with a request in it.
 LINGER_S = 1.0
 
@@ -141,7 +141,9 @@
 
     def _on_request(self, http: HttpRequest, responder: Responder) -> None:
         request_id = f"{self.cfg.process.id}-{secrets.token_hex(8)}"
-        self._last_request_at = self.clock.now()
+        if http.method != "GET":
+            # Health checks and status pages go on during a drain and must not prolong it.
+            self._last_request_at = self.clock.now()
         try:
             self._serve(http, responder, request_id)
         except RefusedError as exc:
