--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -21,7 +21,7 @@
 from fescuechute.settings import Settings
 from fescuechute.web import CallerServer, HttpRequest, Responder
 
-#: Seconds without a new request before a draining entry closes. A connection accepted just before
+#: Seconds without a new POST request before a draining entry closes. A connection accepted just before
 #: would otherwise be reset with a request in it.
 LINGER_S = 1.0
 
@@ -90,14 +90,16 @@
     def vms_changed(self) -> None:
         """Keeps links to the agents that this entry is assigned to."""
         proc = self.cfg.process
-        agents = self.directory.agents()
-        per_agent = self.cfg.entry.entries_per_agent
-        assigned = assigned_agents(
-            proc.id, proc.region, self.directory.entries(), agents, per_agent
+        wanted = assigned_agents(
+            proc.id,
+            proc.region,
+            self.directory.entries(),
+            self.directory.agents_to_dial(),
+            self.cfg.entry.entries_per_agent,
         )
-        listed = {row.id for row in assigned}
-        for row in assigned:
+        for row in wanted:
             self.hub.connect(row.id, row.address, row.link_port)
+        listed = {row.id for row in wanted}
         for agent_id in [name for name in self.upstreams.rows if name not in listed]:
             self.hub.disconnect(agent_id)
             self.upstreams.forget(agent_id)
@@ -151,8 +153,10 @@
 
     def _on_request(self, http: HttpRequest, responder: Responder) -> None:
         request_id = f"{self.cfg.process.id}-{secrets.token_hex(8)}"
-        self._last_request_at = self.clock.now()
         self.wake()
+        if http.method != "GET":
+            # Health checks and status pages go on during a drain and must not prolong it.
+            self._last_request_at = self.clock.now()
         try:
             self._serve(http, responder, request_id)
         except RefusedError as exc:
