--- a/fescuechute/notes/_fold.py
+++ b/fescuechute/notes/_fold.py
@@ -58,6 +58,7 @@
     for withdrawal in note.withdraw:
         _withdraw(releases, withdrawal)
     for release in note.set:
+        _check_content(state.releases.get(release.key), release)
         releases[release.key] = release
     _check_models(releases)
     return releases
@@ -86,6 +87,22 @@
         del releases[withdrawal.key]
 
 
+def _check_content(before: Release | None, release: Release) -> None:
+    """Rejects new content under the version that is in force.
+
+    Engines report versions, not digests, so nobody could tell which of the two contents is loaded.
+    """
+    if (
+        before is not None
+        and before.version == release.version
+        and before.manifest != release.manifest
+    ):
+        raise _RejectedError(
+            f"Version {release.version} of {release.kind} {release.name} is in force with another "
+            "manifest; give the new content a new version."
+        )
+
+
 def _check_models(releases: dict[tuple[str, str], Release]) -> None:
     for release in releases.values():
         if release.kind == "adapter" and ("model", release.model) not in releases:
--- a/tests/notes/test_note_fold.py
+++ b/tests/notes/test_note_fold.py
@@ -39,6 +39,10 @@
         "declared for *",
     ),
     "adapter of an unknown model": (note("n2", 1, set=[adapter(model="x")]), "model x"),
+    "other content under the same version": (
+        note("n2", 1, set=[release(manifest="cd" * 32)]),
+        "another manifest",
+    ),
     "withdraws a model in use": (note("n2", 1, withdraw=[withdrawal()]), "Adapter grua"),
 }
 
