Use agents' short queues only while urgent work waits

Cause: in a flood of background work the entries also filled the agents' short queues with it, so an urgent request found no room and waited for a slot behind them. Excluded: order within the entry's queue; urgent requests left it first. Change: requests are sent to free slots; the room beyond them is used only while the most urgent rank waits.

--- a/bench/floods.py
+++ b/bench/floods.py
@@ -101,16 +101,20 @@
 def figures(rows: list[Seen], flood: Flood, seconds: float) -> dict[str, float]:
     """Returns the figures of one run."""
     out: dict[str, float] = {}
+    # Rates count what ended while requests were still arriving; the queue is worked off afterwards.
+    until = min(row.sent_at for row in rows) + seconds
     for rank in QUIET:
         mine = [row for row in rows if row.rank == rank]
         if flood.workspace and rank == flood.rank:
             mine = [row for row in mine if row.workspace != flood.workspace]
         good = sum(row.in_time for row in mine)
         out[f"{rank} in time"] = good / max(1, len(mine))
-        out[f"{rank} of capacity"] = good / seconds / CAPACITY
+        done = sum(row.in_time and row.ended_at <= until for row in mine)
+        out[f"{rank} of capacity"] = done / seconds / CAPACITY
         first = [row.first_at - row.sent_at for row in mine if row.in_time and row.first_at]
         out[f"{rank} first token p95 s"] = percentile(first, 0.95)
-    out["useful work of capacity"] = sum(row.in_time for row in rows) / seconds / CAPACITY
+    done = sum(row.in_time and row.ended_at <= until for row in rows)
+    out["useful work of capacity"] = done / seconds / CAPACITY
     out["lost or wrong"] = float(sum(row.outcome in ("lost", "wrong") for row in rows))
     return out
 
--- a/fescuechute/entry/_dispatch.py
+++ b/fescuechute/entry/_dispatch.py
@@ -133,7 +133,7 @@
         if not waiting:
             return
         served = 0.0
-        while self._node.upstreams.has_room(pool, now):
+        while self._has_room(pool, now):
             item = self._queue.pop(now, pool)
             if item is None:
                 break
@@ -146,6 +146,19 @@
         backlogged = self._queue.queued_cost(pool=pool) > 0
         self._rate(pool).observe(now, served, backlogged)
 
+    def _has_room(self, pool: str, now: float) -> bool:
+        """Whether the next request of a pool may be sent.
+
+        Agents' short queues are used only while the most urgent rank waits. Filled with other work,
+        they would make an urgent request wait for a slot behind it.
+        """
+        upstreams = self._node.upstreams
+        if upstreams.has_room(pool, now, queueing=False):
+            return True
+        most_urgent = self._queue.ranks[0][0]
+        waits = self._queue.queued_cost(most_urgent, pool) > 0
+        return waits and upstreams.has_room(pool, now, queueing=True)
+
     def queued(self) -> int:
         """Number of waiting requests."""
         return len(self._queue) + len(self._delayed)
--- a/fescuechute/entry/_upstreams.py
+++ b/fescuechute/entry/_upstreams.py
@@ -89,12 +89,18 @@
         if row is not None:
             row.ended()
 
-    def has_room(self, pool: str, now: float) -> bool:
-        """Whether any upstream of a pool takes requests now."""
+    def has_room(self, pool: str, now: float, *, queueing: bool) -> bool:
+        """Whether any upstream of a pool takes requests now.
+
+        Args:
+          pool: Name of the pool.
+          now: Unix seconds.
+          queueing: Whether room in an agent's short queue counts, and not only a free slot.
+        """
         return any(
             row.linked
             and row.state == "live"
-            and row.outstanding < row.capacity
+            and row.outstanding < (row.capacity if queueing else row.slots)
             and now >= row.not_before
             for row in self._pools.get(pool, ())
         )
