--- a/tests/integration/bookings.py
+++ b/tests/integration/bookings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -21,6 +22,9 @@
 
 T = TypeVar("T")
 
+#: Seeds of the scenarios under load; `BOOKING_SEEDS=1,2,3` in the environment sets others.
+SEEDS = tuple(map(int, os.environ.get("BOOKING_SEEDS", "11").split(",")))
+
 #: Seconds that a caller waits for a key after the system has settled. Every known outcome is in
 #: the log by then, and an open claim is answered at this deadline.
 FINAL_TIMEOUT_S = 2.5
