Try a suspected content on the same upstream from all entries

Cause: each entry chose the emptiest upstream for the solo trial of a suspect. A caller that sent the content again through several entries at once lost one engine for each of them before the second crash was known. Excluded: the spread of crash reports; the entries knew the quarantine within 0.06 s of each other. Change: the solo trial goes to the first live upstream in rendezvous order of the content, those that it crashed last. An agent takes one solo request at a time, so the second crash stops the rest.

--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -100,6 +100,11 @@
         row.tries += 1
         self._node.dispatcher.settle(row, len(row.assembly.tokens))
         row.assembly.abandon("the attempt failed")
+        # What has arrived is not produced again; with the whole length a resumption would be
+        # refused although its deadline can be met.
+        left = row.req.max_tokens - len(row.assembly.tokens)
+        row.run_s = left * self._token_s.get(row.req.model, 0.0)
+        row.cost = left + len(row.req.prompt) / _CHARS_PER_TOKEN
         if reason is Reason.DEADLINE_PASSED:
             self._refuse(row, RefusedError(reason, "The deadline has passed.", ran=row.ran))
             return
@@ -152,7 +157,8 @@
             now,
             excluded=row.excluded,
             prefixes=row.prefixes,
-            solo=solo,
+            solo=row.fingerprint if solo else "",
+            crashed=self._node.quarantine.crashed_agents(row.fingerprint) if solo else frozenset(),
             wanted=wanted,
             exactly=exactly,
         )
--- a/fescuechute/entry/_upstreams.py
+++ b/fescuechute/entry/_upstreams.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from fescuechute.errors import Reason
-from fescuechute.routing import Policy, Pool, RouteRequest, UpstreamRow, choose
+from fescuechute.routing import Policy, Pool, RouteRequest, UpstreamRow, choose, solo_upstream
 from fescuechute.streams import Served
 from fescuechute.wire import Hello, Status
 
@@ -114,7 +114,8 @@
         *,
         excluded: frozenset[str] = frozenset(),
         prefixes: tuple[int, ...] = (),
-        solo: bool = False,
+        solo: str = "",
+        crashed: frozenset[str] = frozenset(),
         wanted: tuple[str, str] | None = None,
         exactly: Served | None = None,
     ) -> UpstreamRow | None:
@@ -125,7 +126,8 @@
           now: Unix seconds.
           excluded: Agents not to ask.
           prefixes: Prefix fingerprints of the prompt.
-          solo: The request runs alone.
+          solo: Content fingerprint of a request that must run alone, or "".
+          crashed: Agents whose upstreams that content has crashed.
           wanted: Names of the model and of the adapter or "", in any confirmed version.
           exactly: Versions that a begun answer must be continued with.
         """
@@ -133,7 +135,11 @@
         if wanted is not None and (pool in self._mixed or exactly is not None):
             # Copying the rows costs time in proportion to the pool, so only a rollout pays for it.
             rows = [row for row in rows if _fits(row, wanted, exactly)]
-        request = RouteRequest(pool, self._region, frozenset(), excluded, prefixes, solo)
+        if solo:
+            # An agent keeps such a request apart from its queue, so a full one takes it too.
+            only = solo_upstream(list(rows), solo, crashed)
+            return only if only is not None and now >= only.not_before else None
+        request = RouteRequest(pool, self._region, frozenset(), excluded, prefixes)
         return choose(rows, request, self._rng, self._policy, now)
 
 
--- a/fescuechute/routing/__init__.py
+++ b/fescuechute/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choice of upstream, retries, and quarantine of requests that crash upstreams."""
 
-from fescuechute.routing._choose import Policy, RouteRequest, choose
+from fescuechute.routing._choose import Policy, RouteRequest, choose, solo_upstream
 from fescuechute.routing._pool import Pool
 from fescuechute.routing._prefixes import prefix_fingerprints
 from fescuechute.routing._quarantine import Quarantine, Verdict
@@ -19,4 +19,5 @@
     "backoff_at",
     "choose",
     "prefix_fingerprints",
+    "solo_upstream",
 ]
--- a/fescuechute/routing/_choose.py
+++ b/fescuechute/routing/_choose.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from fescuechute.membership import rendezvous
 from fescuechute.routing._pool import Pool
 from fescuechute.routing._rows import UpstreamRow, Weight
 
@@ -75,6 +76,26 @@
     return None
 
 
+def solo_upstream(
+    rows: Sequence[UpstreamRow], fingerprint: str, crashed: frozenset[str]
+) -> UpstreamRow | None:
+    """Returns the one live upstream that may run a suspect alone, or None.
+
+    Every entry names the same upstream, and an agent takes one such request at a time. With a free
+    choice each entry that the caller tries would lose an upstream of its own before the second
+    crash is known.
+
+    Args:
+      rows: Upstreams that hold the weights.
+      fingerprint: Content of the request.
+      crashed: Agents whose upstreams it has crashed; they come last, because one that restarts
+        would otherwise change the choice while the request runs elsewhere.
+    """
+    live = {row.agent_id: row for row in rows if row.linked and row.state == "live"}
+    ids = live.keys() - crashed or live.keys()
+    return next((live[agent_id] for agent_id in rendezvous(fingerprint, ids)), None)
+
+
 def is_candidate(row: UpstreamRow, req: RouteRequest, now: float) -> bool:
     """Returns whether an upstream can take the attempt now."""
     return (
--- a/fescuechute/routing/_quarantine.py
+++ b/fescuechute/routing/_quarantine.py
@@ -88,6 +88,12 @@
             return Verdict.QUARANTINED
         return Verdict.SUSPECT if sole or shared else Verdict.CLEAR
 
+    def crashed_agents(self, fingerprint: str) -> frozenset[str]:
+        """Returns the agents whose upstreams crashed with a content in flight."""
+        record = self._records.get(fingerprint)
+        crashes = record.sole | record.shared if record is not None else set()
+        return frozenset(crash_id.rpartition("/")[0] for crash_id in crashes)
+
     def completed(self, fingerprint: str) -> None:
         """A suspect ran alone and completed."""
         record = self._records.get(fingerprint)
--- a/tests/routing/test_choose.py
+++ b/tests/routing/test_choose.py
@@ -11,6 +11,7 @@
     UpstreamRow,
     choose,
     prefix_fingerprints,
+    solo_upstream,
 )
 
 WEIGHTS = frozenset({("model", "m", "2")})
@@ -112,6 +113,21 @@
         assert choose(rows, req, random.Random(seed), Policy.RANDOM, 0.0).agent_id == "empty"
 
 
+def test_all_entries_try_a_suspect_on_the_same_upstream():
+    """Entries that each chose an upstream of their own would lose one each to the same content."""
+    rows = [_row(f"a{number}", region=("norte", "sur")[number % 2]) for number in range(6)]
+    first = solo_upstream(rows, "print", frozenset())
+    loaded = [_row(row.agent_id, reported_running=3) for row in reversed(rows)]
+    assert solo_upstream(loaded, "print", frozenset()).agent_id == first.agent_id
+    crashed = frozenset({first.agent_id})
+    second = solo_upstream(rows, "print", crashed)
+    assert second.agent_id != first.agent_id
+    first.state = "loading"
+    assert solo_upstream(rows, "print", crashed) is second
+    assert solo_upstream([_row("a1")], "print", frozenset({"a1"})).agent_id == "a1"
+    assert solo_upstream([_row("a1", linked=False)], "print", frozenset()) is None
+
+
 def test_prefix_fingerprints_depend_on_the_whole_prefix():
     """Equal fingerprints for different prefixes would send requests to cold upstreams."""
     shared = "a" * 1024
