Do not call a request not run at its deadline while an agent has it

Cause: a request whose deadline passed while an attempt was in flight was refused as not run unless a token had arrived. An engine may hold it in a slot without having produced one. Excluded: refusals by the agent's own queue; they were true. Change: Accepted marks the attempt as passed to the upstream, and such a request is refused as partly run. An agent that has not said Accepted gets 0.25 s to refuse the attempt as not run, which it does at the same deadline for requests in its queue; after that the request may have run. Conclusion: only the agent can say that a sent attempt was not run.

--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -118,7 +118,7 @@
 
     @_handle.register
     def _(self, msg: wire.Accepted, peer_id: str) -> None:
-        """The attempt runs; nothing changes until its first piece."""
+        self.dispatcher.on_accepted(peer_id, msg)
 
     @_handle.register
     def _(self, msg: wire.Piece, peer_id: str) -> None:
--- a/fescuechute/entry/_dispatch.py
+++ b/fescuechute/entry/_dispatch.py
@@ -14,7 +14,7 @@
 from fescuechute.entry._rows import RequestRow
 from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.routing import UpstreamRow
-from fescuechute.wire import Cancel, End, Failed, Message, Piece, Refused
+from fescuechute.wire import Accepted, Cancel, End, Failed, Message, Piece, Refused
 
 if TYPE_CHECKING:
     from fescuechute.entry._daemon import EntryDaemon
@@ -24,6 +24,9 @@
 #: Refusals as not run after which a request is given up; it keeps a request from circling among
 #: full agents until its deadline.
 MAX_REFUSALS = 50
+#: Seconds after its deadline in which an agent may still say that a request waited there and was
+#: not run: its tick, and the way back. Without that word the request may have run.
+VERDICT_S = 0.25
 
 #: Builds the message of an attempt, or returns None when no upstream fits now.
 Route = Callable[[RequestRow, float], tuple[UpstreamRow, Message] | None]
@@ -116,7 +119,9 @@
             reason = Reason.DEADLINE_PASSED if passed else Reason.DEADLINE_UNREACHABLE
             self._give_up(item.payload, reason, None if passed else now + 1.0)
         for row in [row for row in self.rows.values() if row.deadline <= now and row.agent_id]:
-            row.owner.failed(row, Reason.DEADLINE_PASSED, None)
+            if row.accepted or now >= row.deadline + VERDICT_S:
+                row.may_have_run = True
+                row.owner.failed(row, Reason.DEADLINE_PASSED, None)
         for pool in {row.pool for row in self.rows.values()}:
             self.pump(pool, now)
 
@@ -145,6 +150,12 @@
 
     # Messages from agents.
 
+    def on_accepted(self, agent_id: str, msg: Accepted) -> None:
+        """An attempt was passed to its upstream."""
+        row = self._current(agent_id, msg.request_id, msg.attempt)
+        if row is not None:
+            row.accepted = True
+
     def on_piece(self, agent_id: str, msg: Piece) -> None:
         """Passes part of an answer to its owner."""
         row = self._current(agent_id, msg.request_id, msg.attempt)
@@ -204,6 +215,7 @@
             return False
         upstream, msg = routed
         row.agent_id = upstream.agent_id
+        row.accepted = False
         if row.fingerprint:
             self._node.quarantine.started(row.fingerprint)
         row.sent_at = now
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -49,6 +49,8 @@
     attempt: int = 0
     #: Agent of the current attempt; empty while the request waits.
     agent_id: str = ""
+    #: Whether the agent passed the current attempt to its upstream.
+    accepted: bool = False
     #: Whether an upstream may have begun to run it.
     may_have_run: bool = False
     #: Attempts that were refused as not run.
