End a begun stream visibly when no upstream holds its version any more

Cause: a stream whose replica was lost in the middle of a rollout waited for its old version until its deadline. Excluded: mixing of versions; the text that arrived was a prefix of the old version's text. Change: while no linked upstream holds the begun versions, the stream waits 2 s, enough for an engine to restart and load, and is then refused as partly run. Upstreams that are only busy are waited for. An attempt that cannot begin is a refusal. Conclusion: only a stream that may still be completed waits.

--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -11,7 +11,7 @@
 from fescuechute.entry._validate import GenerateRequest
 from fescuechute.errors import Ran, Reason, RefusedError
 from fescuechute.routing import UpstreamRow, Verdict, backoff_at, prefix_fingerprints
-from fescuechute.streams import Assembly, can_restart, can_resume
+from fescuechute.streams import Assembly, Served, can_restart, can_resume
 from fescuechute.web import Responder
 from fescuechute.wire import End, Failed, Generate, Message, Piece
 
@@ -23,6 +23,10 @@
 #: Failures after which the same request may be tried again on another upstream.
 _RETRIED = (Reason.UPSTREAM_LOST, Reason.INCOMPLETE_ANSWER, Reason.WRONG_VERSION)
 
+#: Seconds for which a begun stream waits while no upstream holds its versions. A restarted engine
+#: has them again after about a second; once a rollout has passed, none will.
+RESUME_WAIT_S = 2.0
+
 
 class ModelSystem:
     """Owner of model requests."""
@@ -98,6 +102,7 @@
         assert isinstance(row, ModelRow)
         now = self._node.clock.now()
         row.tries += 1
+        row.lost_at = now
         self._node.dispatcher.settle(row, len(row.assembly.tokens))
         row.assembly.abandon("the attempt failed")
         # What has arrived is not produced again; with the whole length a resumption would be
@@ -164,12 +169,19 @@
         )
         served = served_by(upstream, wanted) if upstream is not None else None
         if upstream is None or served is None:
+            if exactly is not None:
+                self._check_resumable(row, wanted, exactly, now)
             return None
         resume = row.assembly.tokens if begun and can_resume(begun, served) else ()
         row.attempt += 1
         row.solo = solo
         row.served = served
-        row.assembly.begin_attempt(row.attempt, len(resume))
+        try:
+            row.assembly.begin_attempt(row.attempt, len(resume))
+        except RefusedError as exc:
+            # Tokens that contradict each other have reached the caller; nothing can follow them.
+            self._refuse(row, exc)
+            return None
         msg = Generate(
             row.request_id,
             row.attempt,
@@ -188,6 +200,15 @@
         )
         return upstream, msg
 
+    def _check_resumable(
+        self, row: ModelRow, wanted: tuple[str, str], begun: Served, now: float
+    ) -> None:
+        """Refuses the rest of a begun stream that no upstream can go on with."""
+        if now < row.lost_at + RESUME_WAIT_S or self._node.upstreams.holds(row.pool, wanted, begun):
+            return
+        found = f"No upstream holds version {begun.version}, with which the answer began."
+        self._refuse(row, RefusedError(Reason.UPSTREAM_LOST, found, ran=Ran.PARTIAL))
+
     def _learn_rate(self, row: ModelRow, count: int) -> None:
         if row.tries or not count:
             return
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -85,6 +85,8 @@
     served: Served | None = None
     #: Attempts that may have run.
     tries: int = 0
+    #: Unix seconds at which the last attempt failed.
+    lost_at: float = 0.0
     #: Whether the current attempt runs alone on its upstream.
     solo: bool = False
 
--- a/fescuechute/entry/_upstreams.py
+++ b/fescuechute/entry/_upstreams.py
@@ -103,6 +103,11 @@
         """Whether any upstream of a pool is linked."""
         return any(row.linked for row in self._pools.get(pool, ()))
 
+    def holds(self, pool: str, wanted: tuple[str, str], exactly: Served) -> bool:
+        """Whether any linked upstream of a pool holds exactly these versions, busy or not."""
+        rows = self._pools.get(pool, ())
+        return any(row.linked and served_by(row, wanted) == exactly for row in rows)
+
     def _look_for_mix(self, pool: str) -> None:
         sets = {row.weights for row in self._pools[pool] if row.linked and row.weights}
         (self._mixed.add if len(sets) > 1 else self._mixed.discard)(pool)
