Close the connections of callers that do not complete a request within 10 s

Cause: a caller that sent part of a request kept its connection, and the entry's descriptor, for ever. Excluded: harm to others below the limit of descriptors; with 300 such callers others were answered. Change: the callers' server closes a connection 10 s after the first byte of a request that is not complete. Connections without a byte stay, because a load balancer keeps them between requests. Before and after: 300 such connections were open after 12 s, and none of 300 after 10 s plus the length of the other callers' load. Conclusion: descriptors now free themselves.

--- a/fescuechute/agent/_daemon.py
+++ b/fescuechute/agent/_daemon.py
@@ -124,6 +124,8 @@
             self.service.tick(now)
             self._probe(now)
         self.quarantine.expire(now)
+        if self.web is not None:
+            self.web.tick()
         if now >= self._peer_status_at or self._status_key() != self._last_status:
             self.send_status()
         elif now >= self._status_at:
--- a/fescuechute/entry/_daemon.py
+++ b/fescuechute/entry/_daemon.py
@@ -79,6 +79,8 @@
         self.dispatcher.tick(now)
         self.claims.run(now)
         self.quarantine.expire(now)
+        if self.web is not None:
+            self.web.tick()
         if self.draining and self._may_close(now):
             self.close()
 
--- a/fescuechute/web/_server.py
+++ b/fescuechute/web/_server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import socket
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -25,6 +27,9 @@
 _READ_BYTES = 64 * 1024
 #: Bytes that may wait for a caller that does not read its stream.
 _MAX_BUFFERED_BYTES = 4 << 20
+#: Seconds from the first byte of a request until it must be complete. Without a limit, callers that
+#: never complete one would use up the file descriptors of the entry.
+REQUEST_S = 10.0
 _CHANNEL = "web"
 
 
@@ -132,6 +137,8 @@
         self._max_body_bytes = max_body_bytes
         self._count = count
         self._received: dict[socket.socket, int] = {}
+        #: Monotonic seconds at which incomplete requests are given up, the oldest first.
+        self._complete_by: dict[socket.socket, float] = {}
         self._open: dict[socket.socket, Responder] = {}
         self._web = BaseServer(
             bind, channel=_CHANNEL, display_banner=False, bufsize=_READ_BYTES
@@ -147,6 +154,15 @@
         """Whether every answer is complete and handed to the kernel."""
         return not self._open and not any(self._web.server._buffers.values())
 
+    def tick(self) -> None:
+        """Closes the connections of callers that do not complete their requests."""
+        now = time.monotonic()
+        late = list(itertools.takewhile(lambda item: item[1] <= now, self._complete_by.items()))
+        for sock, _ in late:
+            self._count("callers.incomplete")
+            self._complete_by.pop(sock)
+            self._web.server._close(sock)
+
     def finish(self, sock: socket.socket) -> None:
         """Forgets a request whose answer was handed over."""
         self._open.pop(sock, None)
@@ -179,6 +195,7 @@
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
         received = self._received.get(sock, 0) + len(data)
         self._received[sock] = received
+        self._complete_by.setdefault(sock, time.monotonic() + REQUEST_S)
         if received <= self._max_bytes:
             return
         event.stop()
@@ -188,7 +205,7 @@
     @handler("request", priority=10)
     def _on_request(self, event: Event, req: Request, res: Response) -> bool:
         event.stop()
-        self._received.pop(req.sock, None)
+        self._forget_received(req.sock)
         responder = Responder(self, req.sock, res)
         self._open[req.sock] = responder
         body = req.body.read()
@@ -209,7 +226,7 @@
         self, event: Event, req: Request, res: Response, *args: Any, **kwargs: Any
     ) -> None:
         event.stop()
-        self._received.pop(req.sock, None)
+        self._forget_received(req.sock)
         self._open.pop(req.sock, None)
         self._count("refused.malformed_request")
         status = event.code if event.code and event.code < 500 else 400
@@ -231,11 +248,15 @@
 
     @handler("disconnect", priority=10)
     def _on_disconnect(self, sock: socket.socket) -> None:
-        self._received.pop(sock, None)
+        self._forget_received(sock)
         responder = self._open.pop(sock, None)
         if responder is not None:
             responder.caller_gone()
 
+    def _forget_received(self, sock: socket.socket) -> None:
+        self._received.pop(sock, None)
+        self._complete_by.pop(sock, None)
+
     def _too_large(self) -> RefusedError:
         self._count(f"refused.{Reason.BODY_TOO_LARGE}")
         return RefusedError(
