Refuse a message for a full link before it is written

Cause: send wrote the message, then returned False because the buffer was above its limit. The link closed at the next tick only, so the message could still arrive, while the dispatcher took False for not run and sent the request elsewhere. Change: the limit is checked with the new frame before anything is written. Before and after (test_refused_send_never_reaches_the_peer): the refused message arrived, and not. Conclusion: False now means that the peer never gets the message.

--- a/fescuechute/net/_links.py
+++ b/fescuechute/net/_links.py
@@ -110,11 +110,13 @@
         row = self.links.get(peer_id)
         if row is None or not row.conn.is_open:
             return False
-        self._write(row, encode(msg))
-        if row.conn.buffered > MAX_BUFFERED_BYTES:
+        frame = encode(msg)
+        if row.conn.buffered + len(frame) > MAX_BUFFERED_BYTES:
+            # Refused before it is written: callers take False for "the peer never gets it".
             self._handler.count("links.write_buffer_full")
             self.fail_later(row.conn, "the peer does not read")
             return False
+        self._write(row, frame)
         return True
 
     def broadcast(self, msg: Message, role: str = "") -> None:
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fescuechute.net import LinkHub, Loop, SystemClock
-from fescuechute.wire import PROTOCOL_VERSION, Cancel, Hello, Piece, encode
+from fescuechute.wire import PROTOCOL_VERSION, Cancel, FrameDecoder, Hello, Piece, encode
 
 DEADLINE_S = 10.0
 
@@ -23,7 +23,7 @@
 class Peer:
     """A hub on a loop of its own that records what its handler sees."""
 
-    def __init__(self, name: str, version: int = PROTOCOL_VERSION):
+    def __init__(self, name: str, version: int = PROTOCOL_VERSION, tick_s: float = 0.02):
         self.up: list[str] = []
         self.down: list[tuple[str, str]] = []
         self.messages: list[object] = []
@@ -31,7 +31,7 @@
         clock = SystemClock()
         hello = Hello(version, name, "agent", "r1", "d1", f"boot-{name}")
         self.hub = LinkHub(hello, self, clock)
-        self.loop = Loop(self.hub.tick, lambda: None, 0.02, clock)
+        self.loop = Loop(self.hub.tick, lambda: None, tick_s, clock)
         self.loop.add(self.hub)
         self.port = self.hub.listen("127.0.0.1", 0)
         self.thread = threading.Thread(target=self.loop.run, daemon=True)
@@ -142,3 +142,24 @@
     start(second)
     wait_for(lambda: a.up.count("b") >= 2, "second link")
     assert ("b", "replaced by a newer connection") in a.down
+
+
+def test_refused_send_never_reaches_the_peer(peers):
+    """A request that `send` refused is reported as not run, so it must not arrive late."""
+    # A long tick leaves the link open for a while after the refusal.
+    a = peers("a", tick_s=1.0)
+    start(a)
+    with socket.create_connection(("127.0.0.1", a.port)) as conn:
+        conn.sendall(encode(Hello(PROTOCOL_VERSION, "b", "entry", "r1", "d1", "boot", "", "")))
+        wait_for(lambda: a.up == ["b"], "the link")
+        big = ("x" * 500_000,)
+        sent = 0
+        while a.hub.send("b", Piece(f"r{sent}", 1, 0, big)):
+            sent += 1
+            assert sent < 200, "the buffer has no bound"
+        conn.settimeout(DEADLINE_S)
+        decoder, arrived = FrameDecoder(), []
+        while data := conn.recv(1 << 20):
+            arrived += [msg.request_id for msg in decoder.feed(data) if isinstance(msg, Piece)]
+    assert f"r{sent}" not in arrived
+    assert "links.write_buffer_full" in a.counters
