Send copies of a crashing request while its solo trial is under way

Cause: the test waited for the answer of the first copy, by then the quarantine was complete, so that the choice of the upstream for solo trials was never contested and the check could not fail. Change: the copies through all entries start once the first crash is reported.

--- a/tests/integration/test_crash_quarantine.py
+++ b/tests/integration/test_crash_quarantine.py
@@ -32,15 +32,26 @@
         yield running
 
 
-async def resend(load, prompt, entries, known, together):
+def crashes_reported(system):
+    counters = [system.agent_status(r)["counters"] for r in system.engines()]
+    return sum(found.get("engine.crashes", 0) for found in counters)
+
+
+async def resend(system, load, prompt, known, together):
     """Sends a prompt again and again until each entry has refused it as quarantined.
 
-    The first copy goes alone: copies that start at the same moment are all under way before anyone
-    can know of the first crash.
+    The first copy goes alone until its crash is reported: copies that start at the same moment are
+    all under way before anyone can know of a crash. The others do not wait for its answer.
     """
+    entries = len(system.entries)
     refused_by = set()
+    before = crashes_reported(system)
     number = 1
-    await load.generate(prompt=prompt, entry=0)
+    first = asyncio.create_task(load.generate(prompt=prompt, entry=0))
+    while not first.done() and await asyncio.to_thread(crashes_reported, system) == before:
+        await asyncio.sleep(0.005)
+    if together == 1:
+        await first
     began = time.time()
     while len(refused_by) < entries and time.time() - began < 12.0:
         turn = [(number + n) % entries for n in range(together)]
@@ -53,6 +64,7 @@
                 known.setdefault(row.entry, row.ended_at)
                 refused_by.add(row.entry)
         await asyncio.sleep(0.02)
+    await first
     return number
 
 
@@ -75,7 +87,7 @@
 
             flow = asyncio.create_task(load.poisson(25, time.time() + 6.0, make))
             await asyncio.sleep(0.5)
-            sent = await resend(load, poison, len(system.entries), known, together)
+            sent = await resend(system, load, poison, known, together)
             await flow
         return load.rows, sent
 
