Count what waits for a caller instead of summing it for each piece

Cause: for each piece to a caller that does not read, the entry summed all pieces that wait for it, which takes time in proportion to their number and stops every other caller. Change: the bytes are counted as they are buffered, and summed only when the count passes the limit. Conclusion: a piece costs the same however much waits.

--- a/fescuechute/web/_server.py
+++ b/fescuechute/web/_server.py
@@ -137,6 +137,8 @@
         self._max_body_bytes = max_body_bytes
         self._count = count
         self._received: dict[socket.socket, int] = {}
+        #: Bytes buffered for each caller since its buffer was last empty.
+        self._waiting: dict[socket.socket, int] = {}
         #: Monotonic seconds at which incomplete requests are given up, the oldest first.
         self._complete_by: dict[socket.socket, float] = {}
         self._open: dict[socket.socket, Responder] = {}
@@ -187,9 +189,18 @@
                 return
         if sent < len(data):
             server.write(sock, data[sent:])
-            if sum(map(len, server._buffers[sock])) > _MAX_BUFFERED_BYTES:
-                self._count("callers.not_reading")
-                server._close(sock)
+            before = self._waiting.get(sock, 0) if waiting else 0
+            self._waiting[sock] = before + len(data) - sent
+            if self._waiting[sock] > _MAX_BUFFERED_BYTES:
+                self._check_reading(sock)
+
+    def _check_reading(self, sock: socket.socket) -> None:
+        # The count does not fall while the caller reads; the pieces are summed only when it is
+        # high, because a sum for each piece would take time in proportion to what waits.
+        self._waiting[sock] = sum(map(len, self._web.server._buffers[sock]))
+        if self._waiting[sock] > _MAX_BUFFERED_BYTES:
+            self._count("callers.not_reading")
+            self._web.server._close(sock)
 
     @handler("read", priority=10)
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
@@ -249,6 +260,7 @@
     @handler("disconnect", priority=10)
     def _on_disconnect(self, sock: socket.socket) -> None:
         self._forget_received(sock)
+        self._waiting.pop(sock, None)
         responder = self._open.pop(sock, None)
         if responder is not None:
             responder.caller_gone()
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import threading
+import time
 
 import pytest
 
@@ -34,6 +35,9 @@
                 responder.push({"seq": seq})
             responder.push({"end": True})
             responder.end()
+        elif req.path == "/flood":
+            for seq in range(200_000):
+                responder.push({"seq": seq, "text": "x" * 40})
         elif req.path == "/open":
             responder.push({"seq": 0})
 
@@ -132,3 +136,16 @@
     assert head.split(b" ")[1].startswith(b"4"), answer
     assert json.loads(body)["error"]["reason"] == "malformed_request"
     assert request(server, "POST", "/echo", b"still here")[0] == 200
+
+
+def test_caller_that_does_not_read_is_closed_without_delay_to_others(server):
+    """A stream that nobody reads must have a bound, and each piece must cost the same."""
+    with socket.create_connection(("127.0.0.1", server.web.port), timeout=30) as conn:
+        conn.sendall(b"GET /flood HTTP/1.1\r\nHost: x\r\n\r\n")
+        began = time.monotonic()
+        status, _ = request(server, "POST", "/echo", b"another caller")
+        waited = time.monotonic() - began
+        assert server.gone.wait(10)
+    print(f"another caller waited {waited:.2f} s for 200,000 pieces")
+    assert (status, "callers.not_reading" in server.counters) == (200, True)
+    assert waited < 5.0
