Report a process as ready only once it has read the notes to their known end

Excluded: the fold and the view. Revisions only rose within each process.

Change: a process is ready once it has read up to the highest end of the stream that the log or a peer has told it of. Records from a peer are asked for page by page without waiting for the next digest.

Conclusion: a restart no longer moves the revision that a process acts on back.

--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -205,7 +205,7 @@
 
     @on_message.register
     def _(self, msg: Records, peer_id: str) -> None:
-        self.notes.on_records(msg)
+        self.notes.on_records(peer_id, msg)
 
     @on_message.register
     def _(self, msg: Crash, peer_id: str) -> None:
--- a/fescuechute/node/_notes.py
+++ b/fescuechute/node/_notes.py
@@ -53,13 +53,20 @@
         self._in_flight = False
         self._next_poll_at = 0.0
         self._next_digest_at = 0.0
+        #: Highest end of the stream that the log or a peer has told of.
+        self._known_end = 0
+        self._caught_up = False
         self.view = StreamView(NOTES_STREAM)
         self.ledger = Ledger()
 
     @property
     def ready(self) -> bool:
-        """Whether the newest known revision rests on a complete prefix of the log."""
-        return self.ledger.has_base
+        """Whether the state in force is known.
+
+        It rests on a complete prefix of the log, and this process has once read up to the end that
+        it was told of. After only some pages a restarted process would act on an old revision.
+        """
+        return self.ledger.has_base and self._caught_up
 
     def tick(self, now: float) -> None:
         """Polls the log when it is this process's turn and sends digests."""
@@ -76,6 +83,8 @@
 
     def on_digest(self, peer_id: str, msg: Digest) -> None:
         """Asks a peer that has read further for the missing records."""
+        self._known_end = max(self._known_end, msg.next_offset)
+        self._check_caught_up()
         wanted = self.view.behind(msg.next_offset)
         if wanted is not None:
             self._hub.send(peer_id, PullRecords(NOTES_STREAM, wanted))
@@ -84,9 +93,12 @@
         """Answers a peer that is behind."""
         self._send_since(peer_id, msg.from_offset)
 
-    def on_records(self, msg: Records) -> None:
-        """Applies records that a peer sent."""
+    def on_records(self, peer_id: str, msg: Records) -> None:
+        """Applies records that a peer sent, and asks it for the next ones while more are known."""
+        before = self.view.next_offset
         self._apply(msg.first, list(msg.records), msg.oldest)
+        if before < self.view.next_offset < self._known_end:
+            self._hub.send(peer_id, PullRecords(NOTES_STREAM, self.view.next_offset))
 
     def _digest(self) -> Digest:
         return Digest(NOTES_STREAM, self.view.next_offset, self.ledger.state.revision)
@@ -104,6 +116,7 @@
             self._count("log.read_failed")
             return
         records = body["records"]
+        self._known_end = max(self._known_end, int(body["next"]))
         first = records[0]["offset"] if records else int(body["next"])
         self._apply(first, records, int(body["first"]), float(body["now"]))
         if len(records) == _MAX_RECORDS:
@@ -120,6 +133,14 @@
             self._push(fresh)
             # New readers start at the snapshot, so older records serve only peers slightly behind.
             self.view.trim(_KEPT_RECORDS, self.ledger.replay_from)
+            self._check_caught_up()
+            self._on_change()
+
+    def _check_caught_up(self) -> None:
+        if self._caught_up or not self.ledger.has_base:
+            return
+        if 0 < self._known_end <= self.view.next_offset:
+            self._caught_up = True
             self._on_change()
 
     def _report(self, entry: HistoryEntry) -> None:
--- a/tests/integration/test_notes_in_force.py
+++ b/tests/integration/test_notes_in_force.py
@@ -325,6 +325,43 @@
     assert max(taken) <= IN_FORCE_S
 
 
+def test_restart_with_many_notes_to_read(system):
+    """A process that has read only some pages of the log must not act on an old revision."""
+    release = system.release("assistant", "v1", 1 << 16)
+    base = revision(system)
+    many = 900
+    notes = [note(f"many-{base}-{i}", base + i, release) for i in range(many)]
+    body = {"records": [{"id": data["id"], "data": data} for data in notes]}
+    with Watch(system.processes) as watch:
+        http_json("POST", system.log.port, "/streams/notes/records", body)
+        appended_at = time.time()
+        for process in system.processes:
+            wait_until(
+                lambda process=process: watch.revision(process) == base + many,
+                IN_FORCE_S,
+                f"revision {base + many} at {process.name}",
+            )
+        taken = [watch.reached_at(p.name, base + many) - appended_at for p in system.processes]
+        for log_down in (False, True):
+            set_faults(system.log.port, down=log_down)
+            try:
+                for restart, what in [
+                    (system.restart_agent, system.replicas[0]),
+                    (system.restart_entry, system.entries[1]),
+                ]:
+                    process = restart(what)
+                    watch.add(process)
+                    wait_until(
+                        lambda process=process: watch.revision(process) == base + many,
+                        IN_FORCE_S + 0.2 + 1.0,
+                        f"revision {base + many} at {process.name}",
+                    )
+            finally:
+                set_faults(system.log.port, down=False)
+    report(f"{many} notes at once in force", taken)
+    watch.assert_never_back()
+
+
 def test_audit_equals_what_processes_reported(system):
     """The log alone must tell what each process had in force at each moment."""
     release = system.release("assistant", "v1", 1 << 16)
--- a/tests/integration/watch.py
+++ b/tests/integration/watch.py
@@ -63,10 +63,17 @@
         return next(found, None)
 
     def assert_never_back(self) -> None:
-        """No process ever reports a lower revision than before."""
+        """No process ever reports a lower revision than before, as ready also after a restart."""
+        newest: dict[str, int] = {}
         for name, samples in self.samples.items():
             steps = [sample.revision for sample in samples]
             assert steps == sorted(steps), f"{name} went back: {_changes(samples)}"
+            # A process that was started again has the name of its predecessor and a number.
+            process = name.partition("#")[0]
+            ready = [sample for sample in samples if sample.ready]
+            for sample in ready:
+                assert sample.revision >= newest.get(process, 0), (name, sample, newest[process])
+            newest[process] = max([newest.get(process, 0), *(s.revision for s in ready)])
 
     def _poll(self, process: Process) -> None:
         try:
