--- a/tests/integration/test_notes_in_force.py
+++ b/tests/integration/test_notes_in_force.py
@@ -275,6 +275,16 @@
         silent_until = time.time() + 3.0
         wait_until(lambda: time.time() > silent_until, 5, "links to be dropped")
         assert {watch.revision(p) for p in far} == {base}
+        # A process that starts while its region is cut off has only its peers there.
+        lone = next(r for r in system.replicas if r.region == "centro")
+        far.remove(lone.agent)
+        far.append(system.restart_agent(lone))
+        watch.add(lone.agent)
+        wait_until(
+            lambda: watch.revision(lone.agent) == base,
+            IN_FORCE_S + 0.2 + 1.0,
+            "the last revision at a process restarted in the region",
+        )
         healed_at = time.time()
         set_faults(system.link.control_port, cut="none")
         for process in far:
