Do not measure the service rate of a pool while none of its upstreams serves

A backlog that expired also kept counting. Excluded: requests that are too late in any case; those still expire. Change: the rate is observed only while an upstream of the pool is live, and an empty queue ends the time with a backlog.

--- a/fescuechute/entry/_dispatch.py
+++ b/fescuechute/entry/_dispatch.py
@@ -124,13 +124,14 @@
             if row.accepted or now >= row.deadline + VERDICT_S:
                 row.may_have_run = True
                 row.owner.failed(row, Reason.DEADLINE_PASSED, None)
-        for pool in {row.pool for row in self.rows.values()}:
+        for pool in {row.pool for row in self.rows.values()} | self._rates.keys():
             self.pump(pool, now)
 
     def pump(self, pool: str, now: float) -> None:
         """Starts waiting requests of a pool while upstreams have room."""
-        waiting = self._queue.queued_cost(pool=pool) > 0
-        if not waiting:
+        if not self._queue.queued_cost(pool=pool):
+            # Ends the time with a backlog, also when its last request expired.
+            self._rate(pool).observe(now, 0.0, False)
             return
         served = 0.0
         while self._has_room(pool, now):
@@ -143,7 +144,10 @@
                 served += item.cost
             else:
                 self.settle(row, 0.0)
-        backlogged = self._queue.queued_cost(pool=pool) > 0
+        # While no upstream is live, waiting says nothing about how fast the pool serves. Counted, it
+        # would make admission refuse for minutes after the pool is back.
+        waits = self._queue.queued_cost(pool=pool) > 0
+        backlogged = waits and self._node.upstreams.any_live(pool)
         self._rate(pool).observe(now, served, backlogged)
 
     def _has_room(self, pool: str, now: float) -> bool:
--- a/fescuechute/entry/_upstreams.py
+++ b/fescuechute/entry/_upstreams.py
@@ -105,9 +105,9 @@
             for row in self._pools.get(pool, ())
         )
 
-    def exists(self, pool: str) -> bool:
-        """Whether any upstream of a pool is linked."""
-        return any(row.linked for row in self._pools.get(pool, ()))
+    def any_live(self, pool: str) -> bool:
+        """Whether any upstream of a pool is linked and serves."""
+        return any(row.linked and row.state == "live" for row in self._pools.get(pool, ()))
 
     def holds(self, pool: str, wanted: tuple[str, str], exactly: Served) -> bool:
         """Whether any linked upstream of a pool holds exactly these versions, busy or not."""
