Queue the test bookings at the agent as urgent

Agents' short queues take urgent work only since the last change of dispatch, so the two tests that need a call waiting at an agent send it as urgent. Their checks are unchanged.

--- a/tests/harness/_callers.py
+++ b/tests/harness/_callers.py
@@ -82,6 +82,7 @@
         arguments: dict[str, Any] | None = None,
         timeout_s: float = 5.0,
         final: bool = False,
+        rank: str = "ordinary",
     ) -> CallSeen:
         """Sends one call and returns what came of it."""
         arguments = {"key": key} if arguments is None else arguments
@@ -90,7 +91,7 @@
         self.rows.append(seen)
         body: dict[str, Any] = {
             "workspace": self.workspace,
-            "rank": "ordinary",
+            "rank": rank,
             "service": self.service,
             "operation": self.operation,
             "arguments": arguments,
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -79,7 +79,8 @@
             keys = [caller.new_key(f"queued{n}") for n in range(5)]
             sent = [asyncio.create_task(caller.call(first, key)) for key in keys[:4]]
             await look(lambda: running(system) == 4, 5, "four running bookings")
-            sent.append(asyncio.create_task(caller.call(first, keys[4])))
+            # Agents' short queues take urgent work only.
+            sent.append(asyncio.create_task(caller.call(first, keys[4], rank="urgent")))
             agent = system.replicas[0].agent.http_port
             await look(
                 lambda: http_json("GET", agent, "/v1/status")[1]["queued"] == 1, 5, "one queued"
@@ -104,7 +105,8 @@
             keys = [caller.new_key(f"reset{n}") for n in range(5)]
             sent = [asyncio.create_task(caller.call(port, key, timeout_s=6)) for key in keys[:4]]
             await look(lambda: running(system) == 4, 5, "four running bookings")
-            sent.append(asyncio.create_task(caller.call(port, keys[4], timeout_s=6)))
+            urgent = caller.call(port, keys[4], timeout_s=6, rank="urgent")
+            sent.append(asyncio.create_task(urgent))
             agent = replica.agent.http_port
             await look(
                 lambda: http_json("GET", agent, "/v1/status")[1]["queued"] == 1, 5, "one queued"
