--- a/bench/_load.py
+++ b/bench/_load.py
@@ -32,6 +32,7 @@
     workspace: str
     sent_at: float
     deadline: float
+    #: When the first token of a stream came; 0 for whole answers.
     first_at: float = 0.0
     ended_at: float = 0.0
     #: `answered`, a refusal reason, `lost`, or `wrong`.
@@ -186,7 +187,6 @@
     async def _read_answer(self, seen: Seen, res: aiohttp.ClientResponse) -> str | None:
         if res.status != 200 or res.content_type != "application/x-ndjson":
             answer = json.loads(await res.read())
-            seen.first_at = time.time()
             if res.status != 200:
                 _refused(seen, answer)
                 return None
--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -153,20 +153,11 @@
         if not self._node.quarantine.may_run(row.fingerprint, now):
             return None
         solo = verdict is Verdict.SUSPECT
-        req = row.req
-        wanted = (req.model, req.adapter)
+        wanted = (row.req.model, row.req.adapter)
         begun = row.served if row.assembly.tokens else None
-        exactly = None if begun is None or can_restart(1, req.stream) else begun
-        upstream = self._node.upstreams.choose(
-            row.pool,
-            now,
-            excluded=row.excluded,
-            prefixes=row.prefixes,
-            solo=row.fingerprint if solo else "",
-            crashed=self._node.quarantine.crashed_agents(row.fingerprint) if solo else frozenset(),
-            wanted=wanted,
-            exactly=exactly,
-        )
+        # Once the caller has tokens, only the same versions may go on.
+        exactly = None if begun is None or can_restart(1, row.req.stream) else begun
+        upstream = self._choose(row, now, solo, wanted, exactly)
         served = served_by(upstream, wanted) if upstream is not None else None
         if upstream is None or served is None:
             if exactly is not None:
@@ -182,23 +173,27 @@
             # Tokens that contradict each other have reached the caller; nothing can follow them.
             self._refuse(row, exc)
             return None
-        msg = Generate(
-            row.request_id,
-            row.attempt,
-            req.model,
-            served.version,
-            req.adapter,
-            served.adapter_version,
-            req.workspace,
-            req.rank,
-            req.deadline,
-            req.prompt,
-            req.max_tokens,
-            resume,
-            row.fingerprint,
-            solo,
+        return upstream, _message(row, served, resume)
+
+    def _choose(
+        self,
+        row: ModelRow,
+        now: float,
+        solo: bool,
+        wanted: tuple[str, str],
+        exactly: Served | None,
+    ) -> UpstreamRow | None:
+        quarantine = self._node.quarantine
+        return self._node.upstreams.choose(
+            row.pool,
+            now,
+            excluded=row.excluded,
+            prefixes=row.prefixes,
+            solo=row.fingerprint if solo else "",
+            crashed=quarantine.crashed_agents(row.fingerprint) if solo else frozenset(),
+            wanted=wanted,
+            exactly=exactly,
         )
-        return upstream, msg
 
     def _check_resumable(
         self, row: ModelRow, wanted: tuple[str, str], begun: Served, now: float
@@ -250,6 +245,26 @@
         self._node.dispatcher.finish(row)
 
 
+def _message(row: ModelRow, served: Served, resume: tuple[str, ...]) -> Generate:
+    req = row.req
+    return Generate(
+        row.request_id,
+        row.attempt,
+        req.model,
+        served.version,
+        req.adapter,
+        served.adapter_version,
+        req.workspace,
+        req.rank,
+        req.deadline,
+        req.prompt,
+        req.max_tokens,
+        resume,
+        row.fingerprint,
+        row.solo,
+    )
+
+
 def fingerprint(req: GenerateRequest) -> str:
     """Returns the digest of what an engine would see of a request, whoever sends it."""
     content = "\0".join((req.model, req.adapter, str(req.max_tokens), req.prompt))
--- a/fescuechute/web/_server.py
+++ b/fescuechute/web/_server.py
@@ -118,6 +118,14 @@
         return bytes(self._res) + bytes(self._res.headers)
 
 
+class _WebServer(BaseServer):
+    """The server of circuits.web without its banner, which would not follow the log format."""
+
+    @handler("ready", override=True)
+    def _on_ready(self, *_args: Any) -> None:
+        """Says nothing; the daemon prints its own ready line."""
+
+
 class CallerServer(BaseComponent):
     """Listens for callers and hands each request to a function with its responder."""
 
@@ -142,7 +150,7 @@
         #: Monotonic seconds at which incomplete requests are given up, the oldest first.
         self._complete_by: dict[socket.socket, float] = {}
         self._open: dict[socket.socket, Responder] = {}
-        self._web = BaseServer(
+        self._web = _WebServer(
             bind, channel=_CHANNEL, display_banner=False, bufsize=_READ_BYTES
         ).register(self)
 
