--- a/fescuechute/node/_notes.py
+++ b/fescuechute/node/_notes.py
@@ -56,6 +56,8 @@
         #: Highest end of the stream that the log or a peer has told of.
         self._known_end = 0
         self._caught_up = False
+        #: The log answered that no note was ever published: revision 0 is then complete knowledge.
+        self._log_was_empty = False
         self.view = StreamView(NOTES_STREAM)
         self.ledger = Ledger()
 
@@ -66,7 +68,7 @@
         It rests on a complete prefix of the log, and this process has once read up to the end that
         it was told of. After only some pages a restarted process would act on an old revision.
         """
-        return self.ledger.has_base and self._caught_up
+        return self._log_was_empty or (self.ledger.has_base and self._caught_up)
 
     def tick(self, now: float) -> None:
         """Polls the log when it is this process's turn and sends digests."""
@@ -117,6 +119,7 @@
             return
         records = body["records"]
         self._known_end = max(self._known_end, int(body["next"]))
+        self._log_was_empty = self._log_was_empty or int(body["next"]) == 0
         first = records[0]["offset"] if records else int(body["next"])
         self._apply(first, records, int(body["first"]), float(body["now"]))
         if len(records) == _MAX_RECORDS:
