Let a turn of the round robin follow the mean cost of requests

Cause: a workspace could serve 512 tokens in its turn. Excluded: admission, which refused the large workspace first. Change: the quantum follows the mean cost of the last items, so a turn is about one request. The flood experiment now has equal arrivals in each scenario and counts rates in the steady state; targets are unchanged.

--- a/bench/_load.py
+++ b/bench/_load.py
@@ -91,14 +91,26 @@
         task.add_done_callback(self._tasks.discard)
 
     async def poisson(
-        self, rate_per_s: float, until: float, make: Callable[[random.Random], Any]
+        self,
+        rate_per_s: float,
+        until: float,
+        make: Callable[[random.Random], Any],
+        stream: str = "",
     ) -> None:
-        """Starts requests with exponential gaps until a unix time."""
+        """Starts requests with exponential gaps until a unix time.
+
+        Args:
+          rate_per_s: Requests a second.
+          until: Unix seconds.
+          make: Returns one request.
+          stream: Name of an arrival stream; runs of equal seed and stream have equal arrivals.
+        """
+        rng = random.Random(f"{self.seed}/{stream}") if stream else self._rng
         at = time.time()
         while at < until:
-            at += self._rng.expovariate(rate_per_s)
+            at += rng.expovariate(rate_per_s)
             await asyncio.sleep(max(0.0, at - time.time()))
-            self.spawn(make(self._rng))
+            self.spawn(make(rng))
 
     async def generate(
         self,
--- a/bench/floods.py
+++ b/bench/floods.py
@@ -76,7 +76,8 @@
         until = time.time() + seconds
         streams = []
         for rank, share in QUIET.items():
-            streams.append(load.poisson(CAPACITY * share, until, maker(load, rank, "")))
+            make = maker(load, rank, "")
+            streams.append(load.poisson(CAPACITY * share, until, make, rank))
         if flood.times:
             rate = CAPACITY * flood.times
             streams.append(load.poisson(rate, until, maker(load, flood.rank, flood.workspace)))
@@ -101,20 +102,23 @@
 def figures(rows: list[Seen], flood: Flood, seconds: float) -> dict[str, float]:
     """Returns the figures of one run."""
     out: dict[str, float] = {}
-    # Rates count what ended while requests were still arriving; the queue is worked off afterwards.
-    until = min(row.sent_at for row in rows) + seconds
+    # Rates are those of the steady state: they count what ended after a third of the time, while
+    # requests were still arriving. Before, queues fill; afterwards, they are worked off.
+    begin = min(row.sent_at for row in rows) + seconds / 3
+    until = begin + seconds * 2 / 3
+    span = until - begin
     for rank in QUIET:
         mine = [row for row in rows if row.rank == rank]
         if flood.workspace and rank == flood.rank:
             mine = [row for row in mine if row.workspace != flood.workspace]
         good = sum(row.in_time for row in mine)
         out[f"{rank} in time"] = good / max(1, len(mine))
-        done = sum(row.in_time and row.ended_at <= until for row in mine)
-        out[f"{rank} of capacity"] = done / seconds / CAPACITY
+        done = sum(row.in_time and begin <= row.ended_at <= until for row in mine)
+        out[f"{rank} of capacity"] = done / span / CAPACITY
         first = [row.first_at - row.sent_at for row in mine if row.in_time and row.first_at]
         out[f"{rank} first token p95 s"] = percentile(first, 0.95)
-    done = sum(row.in_time and row.ended_at <= until for row in rows)
-    out["useful work of capacity"] = done / seconds / CAPACITY
+    done = sum(row.in_time and begin <= row.ended_at <= until for row in rows)
+    out["useful work of capacity"] = done / span / CAPACITY
     out["lost or wrong"] = float(sum(row.outcome in ("lost", "wrong") for row in rows))
     return out
 
@@ -137,7 +141,7 @@
 def main() -> int:
     """Runs all scenarios over the seeds, prints one table for each, writes `out/floods.json`."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--only", default="", help="part of a scenario's name")
     args = parser.parse_args()
--- a/fescuechute/admission/_flows.py
+++ b/fescuechute/admission/_flows.py
@@ -10,6 +10,9 @@
 
 from fescuechute.admission._items import QueuedItem
 
+#: Items over which the mean cost is taken.
+_COST_SAMPLES = 16
+
 
 @attrs.define(eq=False)
 class _Flow:
@@ -29,9 +32,18 @@
 class RoundRobin:
     """Waiting items of one rank and pool, shared out among workspaces by cost."""
 
-    def __init__(self, weights: Mapping[str, float], quantum: float):
+    def __init__(self, weights: Mapping[str, float], quantum: float | None = None):
+        """Creates an empty queue.
+
+        Args:
+          weights: Weights of workspaces, 1 for any other.
+          quantum: Tokens that a workspace of weight 1 may serve in a turn; None follows the mean
+            cost of the items, so that a turn is about one item. A larger quantum makes a small
+            workspace wait for many items of each large one, a smaller one costs more rounds.
+        """
         self._weights = weights
-        self._quantum = quantum
+        self._follows_cost = quantum is None
+        self._quantum = quantum or 0.0
         #: Flows with work; the first one has the turn.
         self._flows: OrderedDict[str, _Flow] = OrderedDict()
         self.cost = 0.0
@@ -39,6 +51,9 @@
 
     def push(self, item: QueuedItem) -> None:
         """Adds an item behind those of its workspace."""
+        if self._follows_cost:
+            known = self._quantum or item.cost
+            self._quantum = max(1.0, known + (item.cost - known) / _COST_SAMPLES)
         flow = self._flows.get(item.workspace)
         if flow is None:
             flow = _Flow(item.workspace, self._weights.get(item.workspace, 1.0))
--- a/fescuechute/admission/_queue.py
+++ b/fescuechute/admission/_queue.py
@@ -13,8 +13,6 @@
 from fescuechute.admission._items import QueuedItem
 from fescuechute.admission._shares import ShareAccount
 
-#: Default tokens that a workspace of weight 1 may serve in a turn; about one ordinary request.
-QUANTUM = 512.0
 #: Default bound on the items of one rank in one pool.
 MAX_ITEMS = 4096
 #: Items in flight whose charge is remembered; bounds the memory of an owner that reports no use.
@@ -58,7 +56,7 @@
         weights: Mapping[str, float],
         *,
         max_items: int = MAX_ITEMS,
-        quantum: float = QUANTUM,
+        quantum: float | None = None,
     ):
         shares = [share for _, share in ranks]
         if any(share < 0 for share in shares) or sum(shares) > 1 + 1e-9:
--- a/tests/admission/test_queue.py
+++ b/tests/admission/test_queue.py
@@ -357,3 +357,16 @@
 
 
 TestFairQueueMachine = FairQueueMachine.TestCase
+
+
+@pytest.mark.parametrize("cost", [2.0, 26.0, 5000.0])
+def test_small_workspace_waits_for_about_one_item_of_a_large_one(cost):
+    """A turn worth many items made a small workspace wait for seconds behind a large one."""
+    queue = FairQueue(RANKS, {})
+    for number in range(500):
+        queue.push(_item(f"large{number}", workspace="large", cost=cost))
+    for _ in range(3):
+        queue.pop(0.0)
+    queue.push(_item("small", workspace="small", cost=cost))
+    served = [row.item_id for row in _serve(queue, 3)]
+    assert "small" in served
