--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -96,6 +96,21 @@
         status, answer = http_json("POST", system.entries[0].port, "/v1/generate", generate())
         assert status == 200, answer
         assert answer["text"] == expected_text("load plan", 20, answer["version"])
+        body = _json(generate(stream=True))
+        status, data = http_bytes("POST", system.entries[1].port, "/v1/generate", body)
+        lines = read_lines(data)
+        assert status == 200 and lines[-1]["end"] is True, lines
+        text = "".join(line["text"] for line in lines[:-1])
+        assert text == expected_text("load plan", 20, lines[-1]["version"])
+        booking = {
+            "workspace": "w1",
+            "rank": "urgent",
+            "service": "booking",
+            "operation": "book",
+            "idempotency_key": new_key(f"rollout{answered}"),
+        }
+        status, answer = http_json("POST", system.entries[0].port, "/v1/call", booking)
+        assert status == 200, answer
         answered += 1
     assert answered > 0
     for entry in system.entries:
