Remove dead routing state and join two equal loops of the exchange

Cause: no code ever excluded an agent for a request or overrode the hook for merged crash reports, and the plans for entering and local fetches repeated one loop. Excluded: the twin start-up of the log and weight stand-ins and the fields that the limits of exchange and switch share; each says something of its own. Change: the unused field, parameter and hook are gone, one function starts fetches up to the free slots. Behaviour is unchanged: formatter, linter and type checker clean; tests of weights, entry, node, routing and the whole path pass. The whole suite was not run again on this commit.

--- a/fescuechute/entry/_calls.py
+++ b/fescuechute/entry/_calls.py
@@ -105,7 +105,7 @@
 
     def _route(self, row: RequestRow, now: float) -> tuple[UpstreamRow, Message] | None:
         assert isinstance(row, CallRow)
-        upstream = self._node.upstreams.choose(row.pool, now, excluded=row.excluded)
+        upstream = self._node.upstreams.choose(row.pool, now)
         if upstream is None:
             return None
         row.attempt += 1
--- a/fescuechute/entry/_models.py
+++ b/fescuechute/entry/_models.py
@@ -187,7 +187,6 @@
         return self._node.upstreams.choose(
             row.pool,
             now,
-            excluded=row.excluded,
             prefixes=row.prefixes,
             solo=row.fingerprint if solo else "",
             crashed=quarantine.crashed_agents(row.fingerprint) if solo else frozenset(),
--- a/fescuechute/entry/_rows.py
+++ b/fescuechute/entry/_rows.py
@@ -57,8 +57,6 @@
     overdue: bool = False
     #: Attempts that were refused as not run.
     refusals: int = 0
-    #: Agents that are not asked again.
-    excluded: frozenset[str] = frozenset()
     #: Unix seconds before which no attempt starts.
     not_before: float = 0.0
     #: Content fingerprint; empty for calls.
--- a/fescuechute/entry/_upstreams.py
+++ b/fescuechute/entry/_upstreams.py
@@ -123,7 +123,6 @@
         pool: str,
         now: float,
         *,
-        excluded: frozenset[str] = frozenset(),
         prefixes: tuple[int, ...] = (),
         solo: str = "",
         crashed: frozenset[str] = frozenset(),
@@ -135,7 +134,6 @@
         Args:
           pool: Name of the pool.
           now: Unix seconds.
-          excluded: Agents not to ask.
           prefixes: Prefix fingerprints of the prompt.
           solo: Content fingerprint of a request that must run alone, or "".
           crashed: Agents whose upstreams that content has crashed.
@@ -150,7 +148,7 @@
             # An agent keeps such a request apart from its queue, so a full one takes it too.
             only = solo_upstream(list(rows), solo, crashed)
             return only if only is not None and now >= only.not_before else None
-        request = RouteRequest(pool, self._region, frozenset(), excluded, prefixes)
+        request = RouteRequest(pool, self._region, prefixes=prefixes)
         return choose(rows, request, self._rng, self._policy, now)
 
 
--- a/fescuechute/node/_node.py
+++ b/fescuechute/node/_node.py
@@ -99,9 +99,6 @@
     def notes_changed(self) -> None:
         """Records of the notes stream were applied."""
 
-    def quarantine_changed(self) -> None:
-        """Crash reports were merged."""
-
     def on_link_up(self, peer_id: str, hello: Hello) -> None:
         """A link is usable."""
 
@@ -233,7 +230,6 @@
         if self.quarantine.merge(crash, self.clock.now()):
             self.log.warn("Crash {} of {} request(s).", crash.crash_id, len(crash.fingerprints))
             self.hub.broadcast(crash)
-            self.quarantine_changed()
 
     def _is_log_reader(self) -> bool:
         proc = self.cfg.process
--- a/fescuechute/weights/_exchange.py
+++ b/fescuechute/weights/_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 
 from fescuechute.weights._commands import ORIGIN, CancelFetch, Command
 from fescuechute.weights._designation import Designation
@@ -238,13 +238,7 @@
 
     def _plan_entries(self, now: float, slots: int) -> list[Command]:
         """Fetches into the region what this agent is designated for."""
-        commands: list[Command] = []
-        while slots > len(commands):
-            command = self._next_entry(now)
-            if command is None:
-                break
-            commands.append(command)
-        return commands
+        return _up_to(slots, lambda: self._next_entry(now))
 
     def _next_entry(self, now: float) -> Command | None:
         least = 0 if self._origin_allowed(now) else 1
@@ -345,13 +339,7 @@
 
     def _plan_local(self, now: float, slots: int) -> list[Command]:
         """Fetches from holders in the own region."""
-        commands: list[Command] = []
-        while slots > len(commands):
-            command = self._next_local(now)
-            if command is None:
-                break
-            commands.append(command)
-        return commands
+        return _up_to(slots, lambda: self._next_local(now))
 
     def _next_local(self, now: float) -> Command | None:
         """Starts one fetch: a random source of those least used, then the rarest chunk it holds.
@@ -388,3 +376,11 @@
                 source = self._table.pick(usable, self._rng)
                 commands.append(self._table.start(row, source, now))
         return commands
+
+
+def _up_to(slots: int, start: Callable[[], Command | None]) -> list[Command]:
+    """Starts fetches until the slots are used up or none is possible."""
+    commands: list[Command] = []
+    while len(commands) < slots and (command := start()) is not None:
+        commands.append(command)
+    return commands
