--- a/fescuechute/errors/_reasons.py
+++ b/fescuechute/errors/_reasons.py
@@ -47,6 +47,8 @@
     KEY_MALFORMED = "key_malformed"
     KEY_EXPIRED = "key_expired"
     KEY_REUSED = "key_reused"
+    UNKNOWN_KEY = "unknown_key"
+    STALE_CONFIGURATION = "stale_configuration"
     LOG_UNAVAILABLE = "log_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL_ERROR = "internal_error"
@@ -94,6 +96,8 @@
     ),
     Reason.KEY_EXPIRED: Refusal(410, "Check the outcome, then use a new key with a current time."),
     Reason.KEY_REUSED: Refusal(409, "Use a new key for a request with other content."),
+    Reason.UNKNOWN_KEY: Refusal(401, "Send the key of a workspace."),
+    Reason.STALE_CONFIGURATION: Refusal(503, "Send the request again after the retry time."),
     Reason.LOG_UNAVAILABLE: Refusal(503, "Send it again with the same key after the retry time."),
     Reason.OUTCOME_UNKNOWN: Refusal(
         504, "Ask for the outcome with the same key; do not use a new key."
--- /dev/null
+++ b/fescuechute/gateway/_choice.py
@@ -0,0 +1,103 @@
+"""Choice of a replica for one attempt, and whether to take a request at all."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+
+from fescuechute.catalog import EngineProfile, Service
+from fescuechute.gateway._forecast import first_event_s
+from fescuechute.gateway._upstreams import UpstreamRow, UpstreamTable
+from fescuechute.gateway._versions import VersionTable
+
+#: Seconds that a hop to another data centre, and to another region, is taken to cost.
+OTHER_ZONE_S = 0.002
+OTHER_REGION_S = 0.004
+#: Requests that may wait at an engine beyond its slots, by rank; ranks beyond have the last figure.
+#: Urgent work waits in the engine, which admits it first; the rest keeps slots free for it.
+WAITING_BY_RANK = (6, 2, 0)
+#: Cost in seconds of a replica that fails every request; those that fail some cost their share.
+FAILURE_COST_S = 2.0
+
+
+@attrs.frozen
+class Wanted:
+    """What an attempt needs."""
+
+    service: Service
+    model: str
+    prompt_tokens: int
+    rank: int
+    #: Replicas that must not be asked, such as those of earlier attempts.
+    excluded: frozenset[str]
+
+
+@attrs.frozen
+class Choice:
+    """The replica for an attempt and the inputs that decided."""
+
+    row: UpstreamRow
+    #: Expected seconds to the first event, or a relative load for plain services.
+    expected_s: float
+    #: Version that the replica must have, or None for any.
+    version: int | None
+    #: Replicas that could have taken it.
+    candidates: int
+
+
+class Chooser:
+    """Chooses among the known replicas."""
+
+    def __init__(
+        self, upstreams: UpstreamTable, versions: VersionTable, zone: str, region: str, rng: Random
+    ):
+        self._upstreams = upstreams
+        self._versions = versions
+        self._zone = zone
+        self._region = region
+        self._rng = rng
+
+    def choose(self, wanted: Wanted, now: float) -> Choice | None:
+        """Returns the replica with the least expected time, or None when none can take it now."""
+        required = self._versions.required(wanted.model, now) if wanted.model else 0
+        rows = [
+            row for row in self._upstreams.of(wanted.service.name) if self._up(row, wanted, now)
+        ]
+        if wanted.service.engine is not None:
+            rows = [
+                row
+                for row in rows
+                if not row.loading and row.versions.get(wanted.model, -1) >= max(required, 1)
+            ]
+        rows = [row for row in rows if row.total < self._most(wanted)]
+        if not rows:
+            return None
+        costs = {row.instance: self._cost(row, wanted) for row in rows}
+        best = min(rows, key=lambda row: (costs[row.instance], self._rng.random()))
+        version = best.versions.get(wanted.model) if required else None
+        return Choice(best, costs[best.instance], version, len(rows))
+
+    @staticmethod
+    def _up(row: UpstreamRow, wanted: Wanted, now: float) -> bool:
+        return now >= row.not_before and row.instance not in wanted.excluded
+
+    @staticmethod
+    def _most(wanted: Wanted) -> int:
+        """Returns the requests from which on a replica takes no more of this rank."""
+        engine = wanted.service.engine
+        if engine is None:
+            return wanted.service.max_connections
+        return engine.slots + WAITING_BY_RANK[min(wanted.rank, len(WAITING_BY_RANK) - 1)]
+
+    def _cost(self, row: UpstreamRow, wanted: Wanted) -> float:
+        engine: EngineProfile | None = wanted.service.engine
+        if engine is not None:
+            cost = first_event_s(engine, row, wanted.prompt_tokens)
+        else:
+            cost = row.total / max(1, row.entry.slots) * 0.05
+        if row.region != self._region:
+            cost += OTHER_REGION_S
+        elif row.entry.zone != self._zone:
+            cost += OTHER_ZONE_S
+        return cost + row.failed_share * FAILURE_COST_S
--- /dev/null
+++ b/fescuechute/gateway/_dispatch.py
@@ -0,0 +1,179 @@
+"""Requests under way: takes them, sends their attempts and accounts for the outcomes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from fescuechute.errors import Ran
+from fescuechute.forwarding import OutboundRequest, UpstreamCall, UpstreamClient
+from fescuechute.gateway._attempt import Attempt
+from fescuechute.gateway._choice import Choice, Chooser, Wanted
+from fescuechute.gateway._transfer import CONNECT_S, Transfer
+from fescuechute.routing import RetryBudget
+from fescuechute.settings import Promises
+from fescuechute.telemetry import Telemetry
+
+#: Bounds of the time to come back that a refused client is given, in seconds. Clients honour up to
+#: a third of the time that they have left.
+RETRY_AFTER_MIN_S = 0.3
+RETRY_AFTER_MAX_S = 0.9
+#: Part of the shared retry budget that is used, so that gateways with different views of their
+#: number stay within it together.
+BUDGET_SHARE = 0.7
+#: Gateways among which the burst of the retry budget is divided until their number is known.
+ASSUMED_GATEWAYS = 10
+#: Repeats a second that a gateway may make without any traffic.
+BUDGET_FLOOR_PER_S = 0.02
+
+
+class Dispatcher:
+    """Carries out transfers."""
+
+    def __init__(
+        self,
+        client: UpstreamClient,
+        chooser: Chooser,
+        promises: Promises,
+        telemetry: Telemetry,
+        now: Callable[[], float],
+        rng: Random,
+    ):
+        self._client = client
+        self._chooser = chooser
+        self._promises = promises
+        self._telemetry = telemetry
+        self.now = now
+        self._rng = rng
+        self._transfers: set[Transfer] = set()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    @property
+    def under_way(self) -> int:
+        """Requests without a final answer."""
+        return len(self._transfers)
+
+    def start(self, transfer: Transfer) -> None:
+        """Takes a request."""
+        self._transfers.add(transfer)
+        self._budget(transfer.service.name).first_attempt()
+        transfer.start()
+
+    def tick(self, now: float) -> None:
+        """Runs the deadlines of all requests."""
+        for transfer in list(self._transfers):
+            transfer.tick(now)
+
+    # Ports of a transfer.
+
+    def choose(self, wanted: Wanted) -> Choice | None:
+        """Chooses a replica, or None when none can take the request."""
+        return self._chooser.choose(wanted, self.now())
+
+    def send(
+        self, transfer: Transfer, attempt: Attempt, request: OutboundRequest, max_idle_s: float
+    ) -> UpstreamCall:
+        """Sends an attempt."""
+        row = attempt.choice.row
+        row.in_flight += 1
+        if transfer.streaming:
+            attempt.unread_tokens = transfer.meta.prompt_tokens
+            row.unread_tokens += attempt.unread_tokens
+        now = self.now()
+        self._telemetry.event(
+            "attempt",
+            id=transfer.meta.request_id,
+            n=transfer.attempts,
+            upstream=row.instance,
+            expected_ms=round(attempt.choice.expected_s * 1000),
+            own=row.in_flight,
+            others=row.others,
+            report_age_ms=round((now - row.reported_at) * 1000) if row.reported_at else None,
+            candidates=attempt.choice.candidates,
+            version=attempt.choice.version,
+            cfg=transfer.allowed.configuration,
+            left_ms=round((transfer.deadline - now) * 1000),
+        )
+        return self._client.call(
+            row.instance,
+            row.entry.address,
+            request,
+            attempt,
+            transfer.is_answer,
+            connect_s=CONNECT_S,
+            max_idle_s=max_idle_s,
+        )
+
+    def cancel(self, call: UpstreamCall) -> None:
+        """Ends a call."""
+        self._client.cancel(call)
+
+    def may_repeat(self, transfer: Transfer) -> bool:
+        """Takes one repeat from the budget of the service."""
+        allowed = self._budget(transfer.service.name).try_spend(self.now())
+        if not allowed:
+            self._telemetry.count("retry.refused", "budget")
+        return allowed
+
+    def retry_after_s(self, transfer: Transfer) -> float:
+        """Returns when a client should come back; spread out, so that they do not meet again."""
+        return self._rng.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+
+    def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
+        """Accounts for an attempt that has ended."""
+        row = attempt.choice.row
+        now = self.now()
+        row.in_flight -= 1
+        row.unread_tokens -= attempt.unread_tokens
+        attempt.unread_tokens = 0
+        if not outcome:
+            row.succeeded()
+            return
+        kind = outcome.partition(":")[0]
+        if kind in ("not_connected", "misdirected"):
+            row.unreachable(now)
+            self._client.drop(row.instance)
+        elif kind not in ("client gone", "timeout", "refused"):
+            row.failed()
+        self._telemetry.event(
+            "attempt.failed",
+            id=transfer.meta.request_id,
+            upstream=row.instance,
+            reason=kind,
+            detail=outcome,
+            ms=round((now - attempt.started_at) * 1000),
+        )
+
+    def ended(self, transfer: Transfer, status: int, reason: str, ran: Ran | None) -> None:
+        """The request has its final answer."""
+        self._transfers.discard(transfer)
+        now = self.now()
+        received_at = transfer.request.received_at
+        rank = transfer.allowed.rank
+        first_at = transfer.first_event_at
+        if first_at is not None:
+            self._telemetry.observe("first_event", rank, first_at - received_at)
+        self._telemetry.observe("end", rank, now - received_at)
+        self._telemetry.event(
+            "request",
+            id=transfer.meta.request_id,
+            route=transfer.allowed.route.name,
+            workspace=transfer.allowed.workspace,
+            rank=rank,
+            status=status,
+            reason=reason,
+            ran=ran,
+            attempts=transfer.attempts,
+            first_ms=None if first_at is None else round((first_at - received_at) * 1000),
+            ms=round((now - received_at) * 1000),
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            promises = self._promises
+            burst = promises.retry_burst * BUDGET_SHARE / ASSUMED_GATEWAYS
+            share = promises.retry_ratio * BUDGET_SHARE
+            budget = RetryBudget(share, BUDGET_FLOOR_PER_S, max(1.0, burst))
+            self._budgets[service] = budget
+        return budget
--- a/fescuechute/net/_clock.py
+++ b/fescuechute/net/_clock.py
@@ -16,16 +16,17 @@
 class SystemClock:
     """Unix time that does not step back while the process runs.
 
-    The wall clock is read once and advanced with the monotonic clock. A step of the wall clock
-    would otherwise expire or revive every deadline at once.
+    The wall clock is read once and advanced with the boot-time clock. A step of the wall clock
+    would otherwise expire or revive every deadline at once. The monotonic clock would not do: it
+    stands still while the VM is suspended, and leases and keys would outlive their dates.
     """
 
     def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+        self._offset = time.time() - time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> float:
         """Returns unix seconds."""
-        return time.monotonic() + self._offset
+        return time.clock_gettime(time.CLOCK_BOOTTIME) + self._offset
 
 
 class ManualClock:
--- /dev/null
+++ b/fescuechute/net/_datagrams.py
@@ -0,0 +1,89 @@
+"""Single messages by UDP, for facts that are repeated anyway and may get lost."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from fescuechute.errors import WireError
+from fescuechute.wire import FrameDecoder, Message, encode
+
+#: Largest datagram that is accepted, in bytes.
+_MAX_BYTES = 65_507
+#: Datagrams taken for one readable event, so that a flood cannot starve connections.
+_PER_EVENT = 64
+
+Sender = tuple[str, int]
+
+
+class DatagramSocket(BaseComponent):
+    """Sends and receives one message for each datagram."""
+
+    channel = "datagrams"
+
+    def __init__(self, on_message: Callable[[Sender, Message], None], count: Callable[[str], None]):
+        super().__init__()
+        self._on_message = on_message
+        self._count = count
+        self._poller: EPoll | None = None
+        self._sock: socket.socket | None = None
+
+    def use_poller(self, poller: EPoll) -> None:
+        """Sets the poller; must come before `open`."""
+        self._poller = poller
+
+    def open(self, address: str, port: int) -> int:
+        """Binds the socket and returns its port."""
+        assert self._poller is not None, "use_poller must be called first"
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind((address, port))
+        self._sock = sock
+        self._poller.addReader(self, sock)
+        return int(sock.getsockname()[1])
+
+    def send(self, to: Sender, msg: Message) -> None:
+        """Sends a message; one that the kernel does not take now is dropped."""
+        if self._sock is None:
+            return
+        try:
+            self._sock.sendto(encode(msg), to)
+        except OSError as exc:
+            self._count(f"datagrams.not_sent.{type(exc).__name__}")
+
+    def report_failures(self) -> None:
+        """Nothing to report: datagrams have no connections."""
+
+    def close_connections(self) -> None:
+        """Closes the socket."""
+        sock, self._sock = self._sock, None
+        if sock is not None and self._poller is not None:
+            self._poller.discard(sock)
+            sock.close()
+
+    @handler("_read")
+    def _on_readable(self, sock: socket.socket) -> None:
+        if sock is not self._sock:
+            return
+        for _ in range(_PER_EVENT):
+            try:
+                data, sender = sock.recvfrom(_MAX_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                # An ICMP error of an earlier send; the socket goes on.
+                self._count(f"datagrams.error.{type(exc).__name__}")
+                return
+            self._decode(data, sender)
+
+    def _decode(self, data: bytes, sender: Sender) -> None:
+        try:
+            messages = FrameDecoder().feed(data)
+        except WireError as exc:
+            self._count(f"datagrams.invalid.{type(exc).__name__}")
+            return
+        for msg in messages:
+            self._on_message(sender, msg)
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -15,7 +15,7 @@
 import h11
 
 from fescuechute.net._clock import Clock
-from fescuechute.net._sockets import Connection, SocketOwner
+from fescuechute.net._sockets import PEER_CLOSED, Connection, SocketOwner
 
 #: Idle connections kept for each server.
 _MAX_IDLE = 16
@@ -219,7 +219,7 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._complete(call)
                 elif isinstance(event, h11.ConnectionClosed):
-                    self._fail(call, "closed by the peer")
+                    self._fail(call, PEER_CLOSED)
         except h11.RemoteProtocolError as exc:
             self._fail(call, f"invalid HTTP: {exc}")
 
@@ -248,8 +248,8 @@
         if call.done:
             return
         assert call.protocol is not None
-        if call.status:
-            # A body without length ends with the connection.
+        if call.status and reason == PEER_CLOSED:
+            # A body without length ends with the connection, unless that was reset.
             call.protocol.receive_data(b"")
             self._read_events(call)
         if not call.done:
--- a/fescuechute/net/_loop.py
+++ b/fescuechute/net/_loop.py
@@ -6,13 +6,29 @@
 import itertools
 import signal
 from collections.abc import Callable
+from typing import Protocol
 
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.core.events import generate_events
 from circuits.core.pollers import EPoll
 
 from fescuechute.net._clock import Clock, SystemClock
-from fescuechute.net._sockets import SocketOwner
+
+
+class LoopPart(Protocol):
+    """A component that owns sockets."""
+
+    def use_poller(self, poller: EPoll) -> None:
+        """Sets the poller; comes before the first socket."""
+
+    def register(self, parent: BaseComponent) -> BaseComponent:
+        """Joins the tree of components."""
+
+    def report_failures(self) -> None:
+        """Reports the failures that could not be reported at once."""
+
+    def close_connections(self) -> None:
+        """Closes all sockets."""
 
 
 class tick(Event):  # noqa: N801 - circuits derives the handler name from the class name.
@@ -39,7 +55,7 @@
         self.poller = EPoll().register(self)
         self._on_tick = on_tick
         self._on_stop = on_stop
-        self._owners: list[SocketOwner] = []
+        self._owners: list[LoopPart] = []
         self._signalled = False
         #: Due time, tie breaker and function of each pending call.
         self._pending: list[tuple[float, int, Callable[[], None]]] = []
@@ -47,7 +63,7 @@
         self._interval_s = interval_s
         self._timer = Timer(interval_s, tick(), self.channel, persist=True).register(self)
 
-    def add(self, owner: SocketOwner) -> None:
+    def add(self, owner: LoopPart) -> None:
         """Registers a component that owns sockets."""
         owner.use_poller(self.poller)
         owner.register(self)
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -8,16 +8,29 @@
 
 import errno
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
+#: Reason of `on_closed` when the peer ended the connection in order, without a reset.
+PEER_CLOSED = "closed by the peer"
+
 #: Bytes taken from a socket in one read.
 _READ_BYTES = 256 * 1024
 #: Reads handled for one readable event, so that one busy peer cannot starve the others.
 _READS_PER_EVENT = 4
+#: Seconds for which a finished connection waits for the peer to close before it is closed hard.
+_LINGER_S = 1.0
+#: Seconds without traffic before a keep-alive probe, between probes, and the probes that may fail.
+#: Together they find a connection that went silent within 3 s, the bound of the brief.
+_PROBE_IDLE_S = 1
+_PROBE_EVERY_S = 1
+_PROBES = 2
+#: Milliseconds for which sent bytes may stay unacknowledged; the same bound as for the probes.
+_UNACKNOWLEDGED_MS = 3000
 
 
 class Connection:
@@ -31,6 +44,7 @@
         self._sock: socket.socket | None = sock
         self._connecting = connecting
         self._out: deque[memoryview] = deque()
+        self._finishing = False
         #: Bytes accepted by `write` that the kernel has not taken.
         self.buffered = 0
         self.on_connected: Callable[[], None] = _ignore
@@ -62,6 +76,28 @@
             self.buffered += len(view)
             self._owner.watch_writes(self._sock, True)
 
+    def finish(self) -> None:
+        """Sends what is buffered, then closes without calling `on_closed`.
+
+        What still arrives is read and dropped for a while: closing a socket with unread bytes
+        resets the connection, and the peer could lose the end of what was sent to it.
+        """
+        if self._sock is None or self._finishing:
+            return
+        self._finishing = True
+        self.on_data = self.on_closed = _ignore
+        self._owner.close_later(self, _LINGER_S)
+        if not self._out:
+            self._shut_down()
+
+    def _shut_down(self) -> None:
+        assert self._sock is not None
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The peer has closed already, so nothing is left to be sent.
+            self.close()
+
     def close(self) -> None:
         """Closes without calling `on_closed`. Buffered bytes are dropped."""
         if self._sock is not None:
@@ -84,7 +120,7 @@
                 self.fail(exc.strerror or "read failed")
                 return
             if not data:
-                self.fail("closed by the peer")
+                self.fail(PEER_CLOSED)
                 return
             self._owner.bytes_in += len(data)
             self.on_data(data)
@@ -107,6 +143,8 @@
             self._out.popleft()
         if self._sock is not None:
             self._owner.watch_writes(self._sock, False)
+            if self._finishing:
+                self._shut_down()
 
     def fail(self, reason: str) -> None:
         """Closes and calls `on_closed`."""
@@ -148,6 +186,8 @@
         self._writing: set[socket.socket] = set()
         self._listener: socket.socket | None = None
         self._failed: list[tuple[Connection, str]] = []
+        #: Finished connections with the monotonic time of their hard close, the oldest first.
+        self._closing: deque[tuple[float, Connection]] = deque()
         #: Bytes read from and written to all connections so far.
         self.bytes_in = 0
         self.bytes_out = 0
@@ -174,8 +214,7 @@
     def open_connection(self, address: str, port: int) -> Connection:
         """Starts a connect and returns the connection."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _set_options(sock)
         code = sock.connect_ex((address, port))
         conn = Connection(self, sock, connecting=True)
         self._adopt(sock, conn)
@@ -218,6 +257,12 @@
         failed, self._failed = self._failed, []
         for conn, reason in failed:
             conn.fail(reason)
+        while self._closing and self._closing[0][0] <= time.monotonic():
+            self._closing.popleft()[1].close()
+
+    def close_later(self, conn: Connection, delay_s: float) -> None:
+        """Closes a connection from a later pass of `report_failures`."""
+        self._closing.append((time.monotonic() + delay_s, conn))
 
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
@@ -247,8 +292,7 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _set_options(sock)
             conn = Connection(self, sock, connecting=False)
             self._adopt(sock, conn)
             self.accepted(conn)
@@ -262,5 +306,15 @@
         return self._poller
 
 
+def _set_options(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+
+
 def _ignore(*_args: object) -> None:
     """Default callback."""
--- /dev/null
+++ b/fescuechute/platform/__init__.py
@@ -0,0 +1,45 @@
+"""The adapter to the users' platform: its names, formats and calls, and no decisions.
+
+Everything that comes in is decoded once into the types of `fescuechute.catalog`,
+`fescuechute.feeds` and `fescuechute.settings`; nothing outside this package knows the names on the
+wire.
+"""
+
+from fescuechute.platform._engine import EngineClient, OrderAnswer, OriginClient
+from fescuechute.platform._names import READY_PATH
+from fescuechute.platform._records import (
+    decode_operator_record,
+    decode_registration,
+    decode_report,
+)
+from fescuechute.platform._requests import (
+    decode_answer,
+    decode_request,
+    encode_onward,
+    is_answer_to,
+)
+from fescuechute.platform._settings import (
+    SETTINGS_VARIABLE,
+    load_node_settings,
+    parse_node_settings,
+)
+from fescuechute.platform._store import StoreClient, Topic
+
+__all__ = [
+    "READY_PATH",
+    "SETTINGS_VARIABLE",
+    "EngineClient",
+    "OrderAnswer",
+    "OriginClient",
+    "StoreClient",
+    "Topic",
+    "decode_answer",
+    "decode_operator_record",
+    "decode_registration",
+    "decode_report",
+    "decode_request",
+    "encode_onward",
+    "is_answer_to",
+    "load_node_settings",
+    "parse_node_settings",
+]
--- /dev/null
+++ b/fescuechute/platform/_names.py
@@ -0,0 +1,40 @@
+"""Names of the platform's protocol: headers, calls, topics."""
+
+from __future__ import annotations
+
+REQUEST_ID = b"x-fescuechute-request-id"
+#: Milliseconds for which the client, or the gateway, still waits; not a point in time.
+DEADLINE_MS = b"x-fescuechute-deadline-ms"
+TARGET_INSTANCE = b"x-fescuechute-target-instance"
+WORKSPACE = b"x-fescuechute-tenant"
+MODEL = b"x-fescuechute-model"
+#: Prompt tokens and the maximum of output tokens, separated by a comma.
+TOKENS = b"x-fescuechute-token-count"
+LENGTH_HINT = b"x-fescuechute-length-hint"
+#: 0 to 9; 0 is admitted first.
+PRIORITY = b"x-fescuechute-request-priority"
+EXPECT_VERSION = b"x-fescuechute-expect-version"
+VERSION = b"x-fescuechute-weight-versions"
+NOT_EXECUTED = b"x-fescuechute-not-executed"
+SEAL = b"x-fescuechute-response-seal"
+INSTANCE = b"x-fescuechute-instance-id"
+LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
+#: Scheme of the credentials.
+KEY_SCHEME = "token"
+
+READY_PATH = "/fescuechute/ready"
+REPORT_PATH = "/fescuechute/report"
+ORDER_PATH = "/fescuechute/order"
+MANIFEST_PATH = "/fescuechute/manifest"
+CHUNK_PATH = "/fescuechute/piece"
+STAGE_PUT_PATH = "/fescuechute/stage-put"
+STAGE_GET_PATH = "/fescuechute/stage-get"
+LOG_READ_PATH = "/fescuechute/log-read"
+LOG_NEWEST_PATH = "/fescuechute/log-newest"
+
+OPERATOR_TOPIC = "keyed.op"
+REGISTRY_TOPIC = "keyed.servers"
+#: Key of the configuration, and prefix of the keys of version declarations.
+CONFIG_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
--- /dev/null
+++ b/fescuechute/platform/_records.py
@@ -0,0 +1,254 @@
+"""Decoding of the records in the store and of what engines report."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from fescuechute.catalog import (
+    ClientLimits,
+    Configuration,
+    EngineProfile,
+    EngineReport,
+    LoadedModel,
+    Registration,
+    Repeat,
+    Route,
+    Service,
+    UpstreamState,
+    VersionDeclaration,
+    WeightedService,
+    Workspace,
+)
+from fescuechute.checks import INVALID, Address, Findings, IpPort
+from fescuechute.errors import PlatformError
+from fescuechute.platform._names import CONFIG_KEY, VERSION_KEY_PREFIX
+
+_MS = 1e-3
+_MEGA = 1e6
+_REPEATS = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.ONCE,
+    "streaming": Repeat.STREAM,
+}
+
+
+def decode_operator_record(key: str, value: bytes) -> Configuration | VersionDeclaration | None:
+    """Decodes a record that operators wrote; None for a kind that is not used.
+
+    Raises:
+      PlatformError: The record is not as agreed.
+    """
+    if key == CONFIG_KEY:
+        return _decode(_configuration, key, value)
+    if key.startswith(VERSION_KEY_PREFIX):
+        return _decode(
+            lambda body: VersionDeclaration(_text(body["model"]), _whole(body["version"])),
+            key,
+            value,
+        )
+    return None
+
+
+def decode_registration(key: str, value: bytes) -> Registration:
+    """Decodes the entry of a replica; the key is its instance id.
+
+    Raises:
+      PlatformError: The entry is not as agreed, so it names no replica to use.
+    """
+    return _decode(lambda body: _registration(key, body), key, value)
+
+
+def decode_report(value: bytes) -> EngineReport:
+    """Decodes the report of an engine.
+
+    Raises:
+      PlatformError: The report is not as agreed.
+    """
+    return _decode(_report, "report", value)
+
+
+def decode_manifest(value: bytes, model: str, version: int) -> tuple[bytes, ...]:
+    """Returns the SHA-256 digests of the chunks of a version.
+
+    Raises:
+      PlatformError: The manifest is not as agreed or is of another version.
+    """
+
+    def read(body: Mapping[str, Any]) -> tuple[bytes, ...]:
+        if body["model"] != model or body["version"] != version:
+            raise ValueError(f"it is of {body['model']} {body['version']}")
+        digests = tuple(bytes.fromhex(text) for text in body["digests"])
+        if not digests or any(len(digest) != 32 for digest in digests):
+            raise ValueError("a digest is not SHA-256")
+        return digests
+
+    return _decode(read, "manifest", value)
+
+
+def _decode(read: Any, key: str, value: bytes) -> Any:
+    try:
+        body = json.loads(value)
+        if not isinstance(body, Mapping):
+            raise ValueError("it is no object")
+        return read(body)
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
+        raise PlatformError(
+            f"The record {key} cannot be read: {type(exc).__name__}: {exc}.",
+            "Correct it at its writer; until then the record before it holds.",
+        ) from exc
+
+
+def _configuration(body: Mapping[str, Any]) -> Configuration:
+    limits = body.get("limits") or {}
+    services = [_service(item) for item in body["services"]]
+    return Configuration(
+        version=_whole(body["version"]),
+        routes=tuple(_route(item) for item in body["routes"]),
+        services={service.name: service for service in services},
+        limits=ClientLimits(
+            header_bytes=_whole(limits.get("max_header_bytes", 16384)),
+            body_bytes=_whole(limits.get("max_body_bytes", 1 << 20)),
+            header_s=_number(limits.get("header_timeout_ms", 3000)) * _MS,
+            idle_s=_number(limits.get("idle_timeout_ms", 15000)) * _MS,
+        ),
+        workspaces=tuple(
+            Workspace(
+                _text(item["name"]),
+                tuple(_text(key) for key in item.get("api_keys") or ()),
+                # Takes precedence over the rank of the route.
+                None if item.get("priority") is None else _whole(item["priority"]),
+            )
+            for item in body.get("tenants") or ()
+        ),
+    )
+
+
+def _route(item: Mapping[str, Any]) -> Route:
+    split = item.get("split")
+    if split:
+        services = tuple(
+            WeightedService(_text(part["service"]), _number(part["weight"])) for part in split
+        )
+    else:
+        services = (WeightedService(_text(item["service"]), 1.0),)
+    timeout_s = _number(item.get("timeout_ms", 10_000)) * _MS
+    return Route(
+        name=_text(item.get("name", "")),
+        host=_text(item["host"]),
+        prefix=_text(item["path_prefix"]),
+        repeat=_REPEATS[item.get("kind", "non_idempotent")],
+        services=services,
+        timeout_s=timeout_s,
+        objective_s=_number(item.get("target_latency_ms", timeout_s / _MS)) * _MS,
+        # The longest pause between events, not the time between them that is aimed at.
+        pause_s=_number(item.get("gap_aim_ms", 0)) * _MS,
+        rank=_whole(item.get("priority", 0)),
+        max_upstreams=max(1, _whole(item.get("max_attempts", 1))),
+        anonymous=bool(item.get("anonymous", False)),
+        resumable=bool(item.get("can_resume", False)),
+    )
+
+
+def _service(item: Mapping[str, Any]) -> Service:
+    origin = item.get("origin")
+    return Service(
+        name=_text(item["name"]),
+        health_path=_text(item.get("health_path", "/")),
+        max_connections=_whole(item.get("max_conns", 1)),
+        engine=_engine(item["engine"]) if item.get("engine") else None,
+        origin=_address(origin) if origin else None,
+        zone=_text(item.get("zone", "")),
+        link_bits_s=_number(item.get("link_mbps", 0)) * _MEGA,
+    )
+
+
+def _engine(item: Mapping[str, Any]) -> EngineProfile:
+    models = item.get("models") or [{}]
+    usual = item.get("usual") or {}
+    return EngineProfile(
+        slots=_whole(item["slots"]),
+        memory_tokens=_whole(item["kv_capacity"]),
+        step_s=_number(item["step_ms"]) * _MS,
+        step_per_request_s=_number(item.get("per_seq_ms", 0)) * _MS,
+        # The figure is for 1,000 tokens.
+        step_per_token_s=_number(item.get("context_per_k", 0)) * _MS / 1000,
+        read_tokens_per_s=_number(item["read_per_s"]),
+        # The figure is for a million pairs.
+        read_per_pair_s=_number(item.get("pairs_per_m", 0)) * _MS / 1e6,
+        stride=_whole(item.get("stride", 1)),
+        read_chunk=_whole(item.get("chunk", 2048)),
+        mean_prompt=_number(usual.get("prompt", 0)),
+        mean_answer=_number(usual.get("answer", 0)),
+        model=_text(models[0].get("name", "")),
+        # `load_s` of the platform counts reading from its own storage; staged weights take this.
+        load_s=_number(models[0].get("warmup_s", 0)),
+        chunks=_whole(item.get("chunks", 0)),
+        chunk_bytes=_whole(item.get("chunk_bytes", 0)),
+        layers=_whole(item.get("layers", 1)),
+    )
+
+
+def _registration(key: str, body: Mapping[str, Any]) -> Registration:
+    return Registration(
+        instance=key,
+        service=_text(body["service"]),
+        address=_address(body["address"]),
+        zone=_text(body["zone"]),
+        state=UpstreamState(body["state"]),
+        slots=_whole(body.get("slots", 1)),
+        models=_models(body),
+        born_ms=_whole(body.get("born", 0)),
+    )
+
+
+def _report(body: Mapping[str, Any]) -> EngineReport:
+    return EngineReport(
+        models=_models(body),
+        busy=bool(body.get("busy", False)),
+        orders=_whole(body.get("sequence", 0)),
+        waiting=_whole(body.get("queued", 0)),
+        running=_whole(body.get("active", 0)),
+        memory_used=_whole(body.get("kv_used", 0)),
+        memory_total=_whole(body.get("kv_total", 0)),
+        pace=_number(body.get("pace", 1.0)),
+        born_ms=_whole(body.get("born", 0)),
+    )
+
+
+def _models(body: Mapping[str, Any]) -> tuple[LoadedModel, ...]:
+    layers = body.get("layers")
+    # A model without layers is named but cannot serve.
+    if isinstance(layers, Mapping) and layers.get("from") == layers.get("to"):
+        return ()
+    return tuple(
+        LoadedModel(_text(item["name"]), _whole(item["version"]))
+        for item in body.get("models") or ()
+    )
+
+
+def _address(value: object) -> Address:
+    findings = Findings("")
+    address = IpPort().read(value, "address", findings)
+    if address is INVALID:
+        raise ValueError(findings.problems[0].found)
+    return address
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
+def _number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is no number")
+    return float(value)
+
+
+def _whole(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is no whole number")
+    return value
--- /dev/null
+++ b/fescuechute/platform/_settings.py
@@ -0,0 +1,175 @@
+"""Decoding of the platform's settings file."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from fescuechute.checks import (
+    INVALID,
+    Address,
+    Check,
+    Findings,
+    Flag,
+    IpNumber,
+    IpPort,
+    Number,
+    Text,
+    Whole,
+    describe,
+)
+from fescuechute.errors import Problem, SettingsError
+from fescuechute.settings import NodeSettings, Promises, StoreSettings
+
+#: Names the settings file of a process.
+SETTINGS_VARIABLE = "FESCUECHUTE_SETTINGS"
+
+_MS = 1e-3
+_MEGA = 1e6
+#: Descriptors that the platform reserves for files.
+_FILE_DESCRIPTORS = 200
+
+
+def load_node_settings(path: str | os.PathLike[str]) -> NodeSettings:
+    """Reads and checks the settings file of a process.
+
+    Raises:
+      SettingsError: The file cannot be read or has problems; all of them are listed.
+    """
+    file = os.fspath(path)
+    try:
+        data = json.loads(Path(file).read_bytes())
+    except OSError as exc:
+        problem = Problem(file, "", f"{exc.strerror}.", "Give the path of a readable file.")
+        raise SettingsError([problem]) from exc
+    except ValueError as exc:
+        problem = Problem(file, "", f"This is not valid JSON: {exc}.", "Correct the syntax.")
+        raise SettingsError([problem]) from exc
+    return parse_node_settings(data, file)
+
+
+def parse_node_settings(data: object, file: str) -> NodeSettings:
+    """Checks decoded settings; unknown keys are ignored, because the platform adds some.
+
+    Raises:
+      SettingsError: Lists all problems.
+    """
+    findings = Findings(file)
+    if not isinstance(data, Mapping):
+        findings.add("", f"Found {describe(data)}.", "Write an object.")
+        raise SettingsError(findings.problems)
+    root = _Section(data, "", findings)
+    settings = NodeSettings(
+        node=root.read("node_name", Text()),
+        ip=root.read("ip", IpNumber()),
+        zone=root.read("zone", Text()),
+        region=root.read("region", Text()),
+        regions=_regions(data.get("zones"), findings),
+        ports=_ports(data.get("port_range"), findings),
+        store=_store(root.section("platform")),
+        promises=_promises(root.section("bounds")),
+        link_bits_s=root.section("limits").read("link_mbps", Number(), 0.0) * _MEGA,
+        memory_bytes=int(root.section("limits").read("memory_mb", Number(), 0.0) * _MEGA),
+        sockets=root.section("limits").read("max_fds", Whole(), 1024) - _FILE_DESCRIPTORS,
+        heartbeat_s=root.read("heartbeat_ms", Number(), 1000.0) * _MS,
+        clients=_optional_address(root.section("listen_addrs"), "front"),
+        readiness=_optional_address(root.section("listen_addrs"), "ready_addr"),
+        # The engine on this VM; the platform calls the program in front of it an app.
+        engine=_optional_address(root, "app"),
+        service=root.read("service", Text(allow_empty=True), ""),
+    )
+    if findings.problems:
+        raise SettingsError(findings.problems)
+    return settings
+
+
+class _Section:
+    """Reads keys of one object; a wrong value becomes a finding and its default."""
+
+    def __init__(self, data: Mapping[str, Any], key: str, findings: Findings):
+        self._data = data
+        self._key = key
+        self._findings = findings
+
+    def section(self, name: str) -> _Section:
+        """Returns a nested object; a missing one reads as empty."""
+        value = self._data.get(name)
+        if value is not None and not isinstance(value, Mapping):
+            self._findings.add(self._path(name), f"Found {describe(value)}.", "Write an object.")
+        data = value if isinstance(value, Mapping) else {}
+        return _Section(data, self._path(name), self._findings)
+
+    def read(self, name: str, check: Check, default: Any = INVALID) -> Any:
+        """Returns a checked value; one without a default is required."""
+        value = self._data.get(name)
+        if value is None:
+            if default is INVALID:
+                self._findings.add(self._path(name), "The key is missing.", f"Add `{name}`.")
+                return _placeholder(check)
+            return default
+        result = check.read(value, self._path(name), self._findings)
+        return _placeholder(check) if result is INVALID else result
+
+    def has(self, name: str) -> bool:
+        """Whether the key has a value."""
+        return self._data.get(name) is not None
+
+    def _path(self, name: str) -> str:
+        return f"{self._key}.{name}" if self._key else name
+
+
+def _placeholder(check: Check) -> Any:
+    # Settings with a finding are never returned; the value only lets the reading go on.
+    if isinstance(check, Number):
+        return 0.0
+    if isinstance(check, Whole):
+        return 0
+    return Address("0.0.0.0", 1) if isinstance(check, IpPort) else ""
+
+
+def _store(section: _Section) -> StoreSettings:
+    return StoreSettings(
+        address=section.read("address", IpPort()),
+        writes_per_s=section.read("writes_per_s", Number(), 100.0),
+        reads_per_s=section.read("reads_per_s", Number(), 100.0),
+    )
+
+
+def _promises(section: _Section) -> Promises:
+    strict = section.read("strict_revoke", Flag(), False)
+    revoke_s = section.read("revoke_ms", Number(), 5000.0) * _MS
+    return Promises(
+        drain_s=section.read("drain_ms", Number(), 2000.0) * _MS,
+        grace_s=section.read("grace_s", Number(), 8.0),
+        config_s=section.read("config_apply_ms", Number(), 2000.0) * _MS,
+        revoke_s=revoke_s if strict is True else None,
+        version_s=section.read("version_ms", Number(), 8000.0) * _MS,
+        settle_s=section.read("stable_ms", Number(), 3000.0) * _MS,
+        retry_ratio=section.read("retry_ratio", Number(), 0.1),
+        retry_burst=section.read("retry_burst", Number(), 10.0),
+        retry_window_s=section.read("retry_window_s", Number(), 10.0),
+    )
+
+
+def _optional_address(section: _Section, name: str) -> Address | None:
+    return section.read(name, IpPort()) if section.has(name) else None
+
+
+def _regions(value: object, findings: Findings) -> dict[str, str]:
+    if isinstance(value, Mapping) and all(isinstance(item, str) for item in value.values()):
+        return dict(value)
+    remedy = "Write an object that names the region of each zone."
+    findings.add("zones", f"Found {describe(value)}.", remedy)
+    return {}
+
+
+def _ports(value: object, findings: Findings) -> tuple[int, int]:
+    match value:
+        case [int() as first, int() as last] if 1 <= first <= last <= 65535:
+            return (first, last)
+    remedy = "Write the first and the last port as two whole numbers."
+    findings.add("port_range", f"Found {describe(value)}.", remedy)
+    return (0, 0)
--- /dev/null
+++ b/fescuechute/runtime/_process.py
@@ -0,0 +1,168 @@
+"""What the processes of a deployment have in common."""
+
+from __future__ import annotations
+
+import os
+import secrets
+import signal
+import traceback
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from fescuechute.errors import SettingsError
+from fescuechute.feeds import Feed, FeedSettings, KeyedRecord
+from fescuechute.forwarding import CallerRequest, CallerServer
+from fescuechute.net import DatagramSocket, HttpClient, Loop, SystemClock
+from fescuechute.platform import StoreClient, load_node_settings
+from fescuechute.settings import NodeSettings
+from fescuechute.telemetry import LineWriter, Telemetry
+from fescuechute.wire import Message
+
+#: Seconds between two looks at the settings file, which may change without a signal.
+SETTINGS_EVERY_S = 0.5
+#: Port of the metrics on every VM; the deploy file names it too.
+METRICS_PORT = 9464
+
+
+class _Faults(BaseComponent):
+    """Reports exceptions of event handlers, which circuits would drop without a trace."""
+
+    def __init__(self, report: Callable[[BaseException], None]):
+        super().__init__()
+        self._report = report
+
+    @handler("exception", channel="*")
+    def _on_exception(self, _type: Any, value: Any, *_args: Any, **_kwargs: Any) -> None:
+        if isinstance(value, BaseException):
+            self._report(value)
+
+
+class Process:
+    """Loop, clients, telemetry, settings and metrics of one process.
+
+    A daemon subclasses it and fills in `on_tick`, `on_stop`, `on_datagram` and `on_settings`.
+    """
+
+    def __init__(self, part: str, settings_path: str, tick_s: float):
+        self.settings_path = settings_path
+        self._settings_bytes = Path(settings_path).read_bytes()
+        self.settings: NodeSettings = load_node_settings(settings_path)
+        self._settings_at = 0.0
+        self._reload_signalled = False
+        self.clock = SystemClock()
+        self.process_id = f"{self.settings.node}/{secrets.token_hex(4)}"
+        self.rng = Random(self.process_id)
+        self.telemetry = Telemetry(part, self.settings.node, self.clock.now, LineWriter())
+        self.loop = Loop(self._tick, self._stop, tick_s, self.clock)
+        self.http = HttpClient(self.clock)
+        self.datagrams = DatagramSocket(self.on_datagram, self.telemetry.count)
+        self.metrics = CallerServer(
+            self.clock, self._serve_metrics, self.telemetry.count, "metrics"
+        )
+        for owner in (self.http, self.datagrams, self.metrics):
+            self.loop.add(owner)
+        _Faults(self._fault).register(self.loop)
+        self.store = StoreClient(self.http, self.settings.store.address)
+        self.stopping = False
+
+    # What subclasses fill in.
+
+    def on_tick(self, now: float) -> None:
+        """Runs the systems of the daemon."""
+
+    def on_stop(self, now: float) -> None:
+        """A planned stop was asked for."""
+
+    def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
+        """A message of another process arrived."""
+
+    def on_settings(self) -> None:
+        """The settings have changed."""
+
+    # Running.
+
+    def start(self) -> None:
+        """Opens the sockets that every process has."""
+        cfg = self.settings
+        self.datagrams.open(cfg.ip, cfg.peer_port)
+        self.metrics.listen(cfg.ip, METRICS_PORT)
+
+    def run(self) -> None:
+        """Starts and runs until closed."""
+        signal.signal(signal.SIGHUP, self._on_hang_up)
+        self.start()
+        self.telemetry.event("start", process=self.process_id, pid=os.getpid())
+        self.loop.run_until_closed()
+
+    def close(self, reason: str) -> None:
+        """Ends the process."""
+        self.telemetry.event("stop", process=self.process_id, reason=reason)
+        self.telemetry.flush()
+        self.loop.close()
+
+    def feed(
+        self,
+        settings: FeedSettings,
+        on_record: Callable[[KeyedRecord], None],
+        on_snapshot: Callable[[frozenset[str]], None],
+    ) -> Feed:
+        """Returns a feed of a topic that reports its losses and returns."""
+
+        def on_state(reason: str) -> None:
+            name = "dependency.lost" if reason else "dependency.regained"
+            self.telemetry.event(name, dependency=f"store/{settings.topic}", reason=reason)
+
+        return Feed(
+            self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
+        )
+
+    def _tick(self, now: float) -> None:
+        if self._reload_signalled or now >= self._settings_at:
+            self._settings_at = now + SETTINGS_EVERY_S
+            self._reload()
+        self.http.tick(now)
+        self.metrics.tick(now)
+        self.on_tick(now)
+        self.telemetry.flush()
+
+    def _stop(self) -> None:
+        if not self.stopping:
+            self.stopping = True
+            self.telemetry.event("stopping", process=self.process_id)
+            self.on_stop(self.clock.now())
+
+    def _on_hang_up(self, _number: int, _frame: Any) -> None:
+        self._reload_signalled = True
+
+    def _reload(self) -> None:
+        signalled, self._reload_signalled = self._reload_signalled, False
+        try:
+            data = Path(self.settings_path).read_bytes()
+            if data == self._settings_bytes and not signalled:
+                return
+            self._settings_bytes = data
+            settings = load_node_settings(self.settings_path)
+        except (OSError, SettingsError) as exc:
+            self.telemetry.event("reload.failed", reason=type(exc).__name__, detail=str(exc))
+            return
+        changed = settings != self.settings
+        self.settings = settings
+        self.telemetry.event("reload", signalled=signalled, changed=changed)
+        if changed:
+            self.store.move(settings.store.address)
+            self.on_settings()
+
+    def _serve_metrics(self, request: CallerRequest) -> None:
+        if request.method == b"GET" and request.path == "/metrics":
+            fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
+            request.answer.send(200, fields, self.telemetry.page())
+        else:
+            request.answer.send(404, [], b"Use GET /metrics.")
+
+    def _fault(self, exc: BaseException) -> None:
+        trace = traceback.format_exception(exc)
+        self.telemetry.event("fault", reason=type(exc).__name__, trace="".join(trace)[-2000:])
--- a/fescuechute/settings/__init__.py
+++ b/fescuechute/settings/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from fescuechute.checks import Address
+from fescuechute.settings._deployment import NodeSettings, Promises, StoreSettings
 from fescuechute.settings._load import load_settings, parse_settings
 from fescuechute.settings._tables import (
     AgentSettings,
@@ -34,13 +35,16 @@
     "ExchangeSettings",
     "LogSettings",
     "MetricsSettings",
+    "NodeSettings",
     "NoteSettings",
     "PlatformSettings",
     "ProcessSettings",
+    "Promises",
     "RankSettings",
     "RetrySettings",
     "ServiceSettings",
     "Settings",
+    "StoreSettings",
     "TickSettings",
     "WorkspaceSettings",
     "load_settings",
--- /dev/null
+++ b/fescuechute/stager/_daemon.py
@@ -0,0 +1,336 @@
+"""The stager daemon: keeps the engine on its VM at the declared version of its model."""
+
+from __future__ import annotations
+
+from fescuechute.catalog import (
+    Configuration,
+    EngineReport,
+    Registration,
+    Service,
+    UpstreamState,
+    VersionDeclaration,
+)
+from fescuechute.errors import PlatformError
+from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.net import LinkHub
+from fescuechute.platform import (
+    EngineClient,
+    OrderAnswer,
+    OriginClient,
+    Topic,
+    decode_operator_record,
+    decode_registration,
+)
+from fescuechute.runtime import Process
+from fescuechute.stager._loader import Loader, OrderLoad, StageChunk
+from fescuechute.stager._recovery import Recovery
+from fescuechute.stager._reports import LoadTeller
+from fescuechute.stager._sharing import ChunkPlace, Sharing
+from fescuechute.stager._versions import VersionPlan
+from fescuechute.wire import PROTOCOL_VERSION, Hello, Message
+
+#: Seconds between two ticks.
+TICK_S = 0.05
+#: Seconds for which a call for declarations waits; nothing else depends on its date.
+OPERATORS_WAIT_S = 10.0
+#: Seconds between two reads of the registry, which names the agents of the chain.
+REGISTRY_EVERY_S = 2.0
+#: Seconds between two questions for the engine's report; it costs nothing on the same VM.
+REPORT_EVERY_S = 0.1
+#: Seconds between two attempts to get a manifest.
+MANIFEST_EVERY_S = 0.3
+#: Offset of the port for links between agents from the first port between processes.
+LINK_PORT_OFFSET = 1
+#: Seconds for which a stopping agent goes on giving chunks to others.
+LINGER_S = 0.3
+
+
+class StagerDaemon(Process):
+    """Runs beside one engine."""
+
+    def __init__(self, settings_path: str):
+        super().__init__("stager", settings_path, TICK_S)
+        cfg = self.settings
+        if cfg.engine is None:
+            raise ValueError("The settings of a stager need the address of its engine.")
+        self._engine_address = cfg.engine
+        self.engine = EngineClient(self.http, cfg.engine)
+        self.origin = OriginClient(self.http)
+        hello = Hello(
+            PROTOCOL_VERSION, cfg.ip, "stager", cfg.region, cfg.zone, self.process_id, cfg.service
+        )
+        self.hub = LinkHub(hello, self, self.clock)
+        self.loop.add(self.hub)
+        now = self.clock.now
+        self.sharing = Sharing(
+            cfg.ip, self.hub, self.origin, self._place_of, self._chunk_arrived, now, self.telemetry
+        )
+        self.versions = VersionPlan(self.sharing.store)
+        self.loader = Loader(now)
+        self.recovery = Recovery(self._read_staged, self._found_staged)
+        self.teller = LoadTeller(cfg.engine, self.datagrams.send)
+        self.operators = self.feed(
+            FeedSettings(Topic.OPERATORS, OPERATORS_WAIT_S), self._on_operator, lambda _keys: None
+        )
+        self.registry = self.feed(
+            FeedSettings(Topic.REGISTRY, 0.0, REGISTRY_EVERY_S),
+            self._on_registration,
+            self._on_registry,
+        )
+        self._services: dict[str, Service] = {}
+        self._entries: dict[str, Registration] = {}
+        self._report: EngineReport | None = None
+        self._report_at = 0.0
+        self._report_asked = False
+        self._manifest_at = 0.0
+        self._manifests_asked: set[int] = set()
+        self._places: dict[bytes, tuple[int, int]] = {}
+        self._close_at = float("inf")
+
+    def start(self) -> None:
+        """Opens the links."""
+        super().start()
+        cfg = self.settings
+        self.hub.listen(cfg.ip, cfg.peer_port + LINK_PORT_OFFSET)
+
+    @property
+    def model(self) -> str:
+        """Name of the model of the engine, empty before the configuration is known."""
+        service = self._services.get(self.settings.service)
+        return service.engine.model if service is not None and service.engine is not None else ""
+
+    # Systems.
+
+    def on_tick(self, now: float) -> None:
+        """Runs the systems of the stager."""
+        self.operators.tick(now)
+        self.registry.tick(now)
+        self.hub.tick(now)
+        if not self._report_asked and now >= self._report_at:
+            self._report_asked = True
+            self._report_at = now + REPORT_EVERY_S
+            self.engine.report(self._on_report)
+        self._ask_manifests(now)
+        self.sharing.run()
+        self._load(now)
+        self.teller.tick(self._report, now)
+        if now >= self._close_at:
+            self.close("stopped")
+
+    def on_stop(self, now: float) -> None:
+        """Gives chunks for a moment more, then ends."""
+        self._close_at = now + LINGER_S
+
+    def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
+        """Takes greetings of gateways."""
+        self.teller.receive(msg, self.clock.now())
+
+    def _load(self, now: float) -> None:
+        target = self.versions.to_load()
+        for command in self.loader.plan(target, self._report, now):
+            if isinstance(command, StageChunk):
+                self._stage(command)
+            else:
+                self._order(command)
+
+    def _stage(self, command: StageChunk) -> None:
+        data = self.sharing.store.get(command.digest)
+        if data is None:
+            self.loader.staged(command.index, "not held")
+            return
+        self.engine.stage(
+            self.model, command.index, data, lambda error: self._staged(command.index, error)
+        )
+
+    def _staged(self, index: int, error: str) -> None:
+        if error:
+            self.telemetry.event("stage.failed", index=index, reason=error)
+        self.loader.staged(index, error)
+        self._load(self.clock.now())
+
+    def _order(self, command: OrderLoad) -> None:
+        version = command.version
+
+        def ended(answer: OrderAnswer, detail: str) -> None:
+            self.telemetry.event(
+                "order", model=self.model, version=version, reason=answer, detail=detail
+            )
+            accepted = answer in (OrderAnswer.BEGUN, OrderAnswer.DONE, OrderAnswer.UNKNOWN)
+            self.loader.ordered(accepted)
+
+        self.engine.load(self.model, version, ended)
+
+    # The engine.
+
+    def _on_report(self, report: EngineReport | str) -> None:
+        self._report_asked = False
+        before = self._report
+        if isinstance(report, str):
+            self._report = None
+            if before is not None:
+                self.telemetry.event("dependency.lost", dependency="engine", reason=report)
+            return
+        self._report = report
+        if before is None:
+            self.telemetry.event("dependency.regained", dependency="engine", born=report.born_ms)
+        held = {model.name: model.version for model in report.models}
+        version = held.get(self.model, 0)
+        if self.model and version != self.versions.loaded:
+            self.telemetry.event("engine.version", model=self.model, version=version)
+            self.versions.set_loaded(version)
+            self._want()
+        self.teller.tick(report, self.clock.now())
+
+    # Chunks.
+
+    def _want(self) -> None:
+        for version in list(self.versions.unknown()):
+            self._manifest_at = 0.0
+            self.telemetry.count("manifest.wanted", str(version))
+        self._recover()
+        self.sharing.want(self.versions.wanted())
+
+    def _recover(self) -> None:
+        """Reads back what the engine has staged, once its version and manifest are known."""
+        row = self.versions.row(self.versions.loaded)
+        if self.recovery.started or row is None or row.digests is None:
+            return
+        self.recovery.start(range(len(row.digests)))
+
+    def _read_staged(self, index: int, on_end: object) -> None:
+        self.engine.staged(self.model, index, on_end)  # type: ignore[arg-type]
+
+    def _found_staged(self, index: int, data: bytes) -> None:
+        row = self.versions.row(self.versions.loaded)
+        if row is not None and row.digests is not None and index < len(row.digests):
+            kept = self.sharing.add(row.digests[index], data)
+            self.telemetry.count("chunk.recovered" if kept else "chunk.stale")
+
+    def _ask_manifests(self, now: float) -> None:
+        place = self._origin_service()
+        if now < self._manifest_at or place is None or not self.model:
+            return
+        self._manifest_at = now + MANIFEST_EVERY_S
+        for version in self.versions.unknown():
+            if version not in self._manifests_asked:
+                self._manifests_asked.add(version)
+                self._ask_manifest(place, version)
+
+    def _ask_manifest(self, origin: Service, version: int) -> None:
+        assert origin.origin is not None
+
+        def ended(answer: tuple[bytes, ...] | str) -> None:
+            self._manifests_asked.discard(version)
+            if isinstance(answer, str):
+                self.telemetry.event("manifest.failed", version=version, reason=answer)
+                return
+            self.telemetry.event("manifest", model=self.model, version=version, chunks=len(answer))
+            self.versions.set_manifest(version, answer)
+            for index, digest in enumerate(answer):
+                self._places[digest] = (version, index)
+            self._want()
+            self.sharing.run()
+
+        self.origin.manifest(origin.origin, self.model, version, ended)
+
+    def _origin_service(self) -> Service | None:
+        services = self._services.values()
+        return next((service for service in services if service.origin is not None), None)
+
+    def _place_of(self, digest: bytes) -> ChunkPlace | None:
+        origin = self._origin_service()
+        place = self._places.get(digest)
+        if origin is None or origin.origin is None or place is None:
+            return None
+        return ChunkPlace(origin.origin, self.model, *place)
+
+    def _chunk_arrived(self) -> None:
+        row = self.versions.to_load()
+        if row is not None:
+            self.telemetry.event("version.complete", model=self.model, version=row.version)
+            self._load(self.clock.now())
+
+    # Links.
+
+    def link_up(self, peer_id: str, hello: Hello) -> None:
+        """A link to another agent is usable."""
+        self.sharing.peer_up(peer_id)
+        self.sharing.run()
+
+    def link_down(self, peer_id: str, reason: str) -> None:
+        """A link is gone."""
+        self.telemetry.event("link.down", peer=peer_id, reason=reason)
+        self.sharing.peer_down(peer_id)
+        self.sharing.run()
+
+    def message(self, peer_id: str, msg: Message) -> None:
+        """A message of another agent arrived."""
+        self.sharing.receive(msg, peer_id)
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+        self.telemetry.count(name)
+
+    def _connect(self) -> None:
+        """Keeps links to the agents before this one in the chain."""
+        origin = self._origin_service()
+        first = "" if origin is None else self.settings.regions.get(origin.zone, "")
+        agents = {
+            (entry.zone, entry.address.ip)
+            for entry in self._entries.values()
+            if entry.service == self.settings.service and entry.state is UpstreamState.READY
+        }
+        agents.add((self.settings.zone, self.settings.ip))
+        regions = self.settings.regions
+
+        def place(agent: tuple[str, str]) -> tuple[bool, str, str, str]:
+            zone, ip = agent
+            region = regions.get(zone, zone)
+            return (region != first, region, zone, ip)
+
+        order = [ip for _, ip in sorted(agents, key=place)]
+        wanted = self.sharing.chain.set_order(order)
+        for peer_id in self.hub.wanted() - set(wanted):
+            self.hub.disconnect(peer_id)
+        for peer_id in wanted:
+            self.hub.connect(peer_id, peer_id, self.settings.peer_port + LINK_PORT_OFFSET)
+
+    # Records.
+
+    def _on_operator(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            return
+        try:
+            decoded = decode_operator_record(record.key, record.value)
+        except PlatformError as exc:
+            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
+            return
+        if isinstance(decoded, Configuration):
+            self._services = decoded.services
+            self._connect()
+        elif isinstance(decoded, VersionDeclaration) and decoded.model == self.model:
+            self.telemetry.event(
+                "version.declared",
+                model=decoded.model,
+                version=decoded.version,
+                offset=record.offset,
+            )
+            self.versions.declare(decoded.version)
+            self._want()
+            self._ask_manifests(self.clock.now())
+
+    def _on_registration(self, record: KeyedRecord) -> None:
+        try:
+            if record.value is None:
+                self._entries.pop(record.key, None)
+            else:
+                self._entries[record.key] = decode_registration(record.key, record.value)
+        except PlatformError as exc:
+            self._entries.pop(record.key, None)
+            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
+        self._connect()
+
+    def _on_registry(self, keys: frozenset[str]) -> None:
+        for key in self._entries.keys() - keys:
+            del self._entries[key]
+        self._connect()
--- /dev/null
+++ b/fescuechute/stager/_versions.py
@@ -0,0 +1,97 @@
+"""Versions that this agent fetches and loads: declared ones, their manifests and their chunks."""
+
+from __future__ import annotations
+
+from collections.abc import Container
+
+import attrs
+
+#: Version that engines hold before the first declaration.
+FIRST_VERSION = 1
+
+
+@attrs.define
+class VersionRow:
+    """One version of the model."""
+
+    version: int
+    #: Digests of its chunks in order, None before the manifest is known.
+    digests: tuple[bytes, ...] | None = None
+
+    def complete(self, held: Container[bytes]) -> bool:
+        """Whether all chunks are held."""
+        return self.digests is not None and all(digest in held for digest in self.digests)
+
+    def started(self, held: Container[bytes]) -> bool:
+        """Whether any chunk is held."""
+        return self.digests is not None and any(digest in held for digest in self.digests)
+
+
+class VersionPlan:
+    """Which versions are fetched, in which order, and which one the engine should load.
+
+    Fetching a version that is under way is completed before a newer one begins: a declaration that
+    comes while the link is busy would otherwise throw away most of a copy and leave no version in
+    time.
+
+    Args:
+      held: The chunks already held.
+    """
+
+    def __init__(self, held: Container[bytes]):
+        self._held = held
+        self._rows: dict[int, VersionRow] = {FIRST_VERSION: VersionRow(FIRST_VERSION)}
+        self._loaded = 0
+
+    @property
+    def newest(self) -> int:
+        """The newest declared version."""
+        return max(self._rows)
+
+    @property
+    def loaded(self) -> int:
+        """Version that the engine holds, 0 for none."""
+        return self._loaded
+
+    def declare(self, version: int) -> None:
+        """Takes over a declaration."""
+        if version > self.newest:
+            self._rows[version] = VersionRow(version)
+
+    def set_loaded(self, version: int) -> None:
+        """Takes over what the engine holds."""
+        self._loaded = version
+        # A version ahead of the declarations is known to exist all the same.
+        self.declare(version)
+        for old in [row for row in self._rows if row < min(version, self.newest)]:
+            del self._rows[old]
+
+    def set_manifest(self, version: int, digests: tuple[bytes, ...]) -> None:
+        """Takes over the manifest of a version."""
+        row = self._rows.get(version)
+        if row is not None:
+            row.digests = digests
+
+    def unknown(self) -> list[int]:
+        """Returns the versions whose manifest is needed."""
+        return [row.version for row in self._rows.values() if row.digests is None]
+
+    def row(self, version: int) -> VersionRow | None:
+        """Returns a version, or None."""
+        return self._rows.get(version)
+
+    def wanted(self) -> list[bytes]:
+        """Returns the chunks to hold, those to be fetched first at the front."""
+        rows = sorted(self._rows.values(), key=lambda row: row.version)
+        newest = rows[-1]
+        order = [row for row in rows[:-1] if row.started(self._held) or row.version == self._loaded]
+        return [digest for row in [*order, newest] for digest in row.digests or ()]
+
+    def to_load(self) -> VersionRow | None:
+        """Returns the newest complete version that the engine lacks, or None."""
+        rows = [
+            row
+            for row in self._rows.values()
+            if row.version > self._loaded and row.complete(self._held)
+        ]
+        return max(rows, key=lambda row: row.version, default=None)
--- a/fescuechute/weights/__init__.py
+++ b/fescuechute/weights/__init__.py
@@ -9,6 +9,7 @@
         carry_out(command)
 """
 
+from fescuechute.weights._chain import PREDECESSORS, Chain, ChainLimits
 from fescuechute.weights._commands import (
     ORIGIN,
     CancelFetch,
@@ -43,8 +44,11 @@
 __all__ = [
     "CHUNK_BYTES",
     "ORIGIN",
+    "PREDECESSORS",
     "BlobStore",
     "CancelFetch",
+    "Chain",
+    "ChainLimits",
     "Command",
     "Drain",
     "Exchange",
--- a/fescuechute/weights/_store.py
+++ b/fescuechute/weights/_store.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from fescuechute.weights._manifest import digest_of
 
 
 class BlobStore:
-    """Verified blobs by digest, with the order in which they were added."""
+    """Verified blobs by digest, with the order in which they were added.
 
-    def __init__(self) -> None:
+    Args:
+      digest_of: Hash function of the manifests.
+    """
+
+    def __init__(self, digest_of: Callable[[bytes], bytes] = digest_of) -> None:
+        self._digest_of = digest_of
         self._blobs: dict[bytes, bytes] = {}
         #: Digests in the order of arrival. Dropped ones stay until the log is compacted, so that
         #: cursors remain valid.
@@ -35,8 +40,8 @@
     def put(self, digest: bytes, data: bytes) -> bool:
         """Stores a blob after verifying it; False when the digest does not match."""
         if digest in self._blobs:
-            return digest_of(data) == digest
-        if digest_of(data) != digest:
+            return self._digest_of(data) == digest
+        if self._digest_of(data) != digest:
             return False
         self._blobs[digest] = data
         self._bytes += len(data)
--- a/fescuechute/wire/_frames.py
+++ b/fescuechute/wire/_frames.py
@@ -46,6 +46,9 @@
     m.FetchBlob,
     m.Blob,
     m.BlobRefused,
+    m.Greet,
+    m.Gateways,
+    m.Load,
 )
 _CODES = {cls: code for code, cls in enumerate(_TYPES)}
 _NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in _TYPES}
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -248,3 +248,41 @@
     digest: bytes
     #: `missing` or `busy`.
     reason: str
+
+
+@attrs.frozen
+class Greet(Message):
+    """A gateway tells an agent where to send the load of its engine."""
+
+    #: Process id of the gateway.
+    process_id: str
+    #: Address at which it receives datagrams.
+    ip: str
+    port: int
+
+
+@attrs.frozen
+class Gateways(Message):
+    """An agent tells a gateway who else greeted it lately."""
+
+    #: (process id, ip, port) of each.
+    known: tuple[tuple[str, str, int], ...]
+
+
+@attrs.frozen
+class Load(Message):
+    """What an engine reported to the agent beside it."""
+
+    #: Address at which the engine takes requests.
+    ip: str
+    port: int
+    running: int
+    waiting: int
+    #: Time of a step relative to the profile of the engine.
+    pace: float
+    #: Whether an order is being carried out.
+    loading: bool
+    #: (model, version) pairs that it can serve.
+    versions: tuple[tuple[str, int], ...]
+    #: Unix milliseconds of the engine's start.
+    born_ms: int
