Distribute weights along a chain over several connections

Cause: two versions shared the link, farther agents split their predecessors' links, and one connection with a small window did not fill a link whose way back was busy (traced: requests for chunks came one by one while five were in flight). Change: one version at a time; a neighbour is passed over only when it has nothing and stalls or lags; the next agent of the chain is served first; uploads are paced; chunks travel by HTTP.

--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -138,10 +138,6 @@
             origin, path, lambda result: on_end(result.body if result.ok else _reason(result))
         )
 
-    def cancel(self, call: HttpCall) -> None:
-        """Ends a call without its callback."""
-        self._http.cancel(call)
-
     def _call(self, origin: Address, path: str, on_end: Callable[[HttpResult], None]) -> HttpCall:
         server = (origin.ip, origin.port)
         return self._http.call("GET", server, path, on_end, silence_s=_ORIGIN_SILENCE_S)
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -12,6 +12,7 @@
 )
 from fescuechute.errors import PlatformError
 from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.forwarding import CallerServer
 from fescuechute.net import LinkHub
 from fescuechute.platform import (
     EngineClient,
@@ -39,8 +40,12 @@
 REPORT_EVERY_S = 0.1
 #: Seconds between two attempts to get a manifest.
 MANIFEST_EVERY_S = 0.3
+#: Seconds between two lines about chunks that are still missing.
+PROGRESS_EVERY_S = 1.0
 #: Offset of the port for links between agents from the first port between processes.
 LINK_PORT_OFFSET = 1
+#: Offset of the port at which chunks are given.
+CHUNK_PORT_OFFSET = 2
 #: Seconds for which a stopping agent goes on giving chunks to others.
 LINGER_S = 0.3
 
@@ -63,8 +68,20 @@
         self.loop.add(self.hub)
         now = self.clock.now
         self.sharing = Sharing(
-            cfg.ip, self.hub, self.origin, self._place_of, self._chunk_arrived, now, self.telemetry
+            cfg.ip,
+            self.hub,
+            self.http,
+            cfg.peer_port + CHUNK_PORT_OFFSET,
+            self.origin,
+            self._place_of,
+            self._chunk_arrived,
+            self.loop.call_at,
+            cfg.link_bits_s,
+            now,
+            self.telemetry,
         )
+        self.chunks = CallerServer(self.clock, self.sharing.serve, self.telemetry.count, "chunks")
+        self.loop.add(self.chunks)
         self.versions = VersionPlan(self.sharing.store)
         self.loader = Loader(now)
         self.recovery = Recovery(self._read_staged, self._found_staged)
@@ -86,12 +103,14 @@
         self._manifests_asked: set[int] = set()
         self._places: dict[bytes, tuple[int, int]] = {}
         self._close_at = float("inf")
+        self._progress_at = 0.0
 
     def start(self) -> None:
         """Opens the links."""
         super().start()
         cfg = self.settings
         self.hub.listen(cfg.ip, cfg.peer_port + LINK_PORT_OFFSET)
+        self.chunks.listen(cfg.ip, cfg.peer_port + CHUNK_PORT_OFFSET)
 
     @property
     def model(self) -> str:
@@ -106,6 +125,7 @@
         self.operators.tick(now)
         self.registry.tick(now)
         self.hub.tick(now)
+        self.chunks.tick(now)
         if not self._report_asked and now >= self._report_at:
             self._report_asked = True
             self._report_at = now + REPORT_EVERY_S
@@ -113,6 +133,7 @@
         self._ask_manifests(now)
         self.sharing.run()
         self._load(now)
+        self._tell_progress(now)
         self.teller.tick(self._report, now)
         if now >= self._close_at:
             self.close("stopped")
@@ -160,6 +181,18 @@
 
         self.engine.load(self.model, version, ended)
 
+    def _tell_progress(self, now: float) -> None:
+        missing = self.sharing.chain.missing
+        if now >= self._progress_at and missing:
+            self._progress_at = now + PROGRESS_EVERY_S
+            chain = self.sharing.chain
+            self.telemetry.event(
+                "version.progress",
+                missing=missing,
+                announced=chain.sources(),
+                fetching=chain.fetching(),
+            )
+
     # The engine.
 
     def _on_report(self, report: EngineReport | str) -> None:
@@ -188,6 +221,7 @@
             self._manifest_at = 0.0
             self.telemetry.count("manifest.wanted", str(version))
         self._recover()
+        self.sharing.keep(self.versions.kept())
         self.sharing.want(self.versions.wanted())
 
     def _recover(self) -> None:
@@ -245,10 +279,13 @@
         return ChunkPlace(origin.origin, self.model, *place)
 
     def _chunk_arrived(self) -> None:
+        if self.sharing.chain.missing:
+            return
         row = self.versions.to_load()
         if row is not None:
             self.telemetry.event("version.complete", model=self.model, version=row.version)
             self._load(self.clock.now())
+        self.sharing.want(self.versions.wanted())
 
     # Links.
 
--- a/fescuechute/stager/_sharing.py
+++ b/fescuechute/stager/_sharing.py
@@ -10,7 +10,8 @@
 import attrs
 
 from fescuechute.checks import Address
-from fescuechute.net import HttpCall
+from fescuechute.forwarding import Answer, CallerRequest
+from fescuechute.net import HttpCall, HttpResult
 from fescuechute.telemetry import Telemetry
 from fescuechute.weights import (
     ORIGIN,
@@ -20,8 +21,25 @@
     Command,
     FetchFromOrigin,
     FetchFromPeer,
+    TokenBucket,
+    UploadQueue,
 )
-from fescuechute.wire import Blob, BlobRefused, FetchBlob, Have, Message
+from fescuechute.wire import Have, Message
+
+#: Part of the link of the VM at which chunks are sent. Sent faster, they would queue in front of the
+#: link, and each small request for the next chunk would wait behind them.
+LINK_SHARE = 0.94
+#: Bytes of credit that the upload must have before a chunk is sent; a chunk may leave a debt.
+UPLOAD_BURST = 4096
+#: Requests of one peer, and of all peers, that may wait for upload.
+WAITING_PER_PEER = 8
+WAITING_TOTAL = 32
+
+
+#: Path prefix of chunks, followed by the digest in hexadecimal.
+CHUNK_PATH = "/chunks/"
+#: Seconds without a byte after which a chunk from a peer counts as lost.
+SILENCE_S = 1.0
 
 
 class Links(Protocol):
@@ -31,6 +49,24 @@
         """Sends a message; False when there is no usable link."""
 
 
+class ChunkClient(Protocol):
+    """HTTP calls, several at a time to one server, each on a connection of its own."""
+
+    def call(
+        self,
+        method: str,
+        server: tuple[str, int],
+        path: str,
+        on_end: Callable[[HttpResult], None],
+        *,
+        silence_s: float,
+    ) -> HttpCall:
+        """Starts a request."""
+
+    def cancel(self, call: HttpCall) -> None:
+        """Ends a call without its callback."""
+
+
 class Origin(Protocol):
     """The origin of weights."""
 
@@ -44,9 +80,6 @@
     ) -> HttpCall:
         """Asks for one chunk."""
 
-    def cancel(self, call: HttpCall) -> None:
-        """Ends a call without its callback."""
-
 
 @attrs.frozen
 class ChunkPlace:
@@ -63,15 +96,31 @@
     return hashlib.sha256(data).digest()
 
 
+def _digest(path: str) -> bytes | None:
+    if not path.startswith(CHUNK_PATH):
+        return None
+    try:
+        return bytes.fromhex(path.removeprefix(CHUNK_PATH))
+    except ValueError:
+        return None
+
+
 class Sharing:
     """Chunks of one agent.
 
+    Links carry announcements; chunks travel by HTTP, because one connection with a small window
+    does not fill a link whose way back is busy (docs/platform.md has the figures).
+
     Args:
-      self_id: Id of this agent.
+      self_id: Id of this agent, its IP number.
       links: Links to other agents.
+      client: Fetches chunks from other agents.
+      port: Port at which agents give chunks.
       origin: The origin of weights.
       place_of: Returns where the origin keeps a chunk, or None when no origin is known.
       on_chunk: Called after a chunk was stored.
+      call_at: Calls a function at a unix time.
+      link_bits_s: Rate of the link of the VM.
       now: Returns unix seconds.
       telemetry: Counts where chunks came from.
     """
@@ -80,37 +129,51 @@
         self,
         self_id: str,
         links: Links,
+        client: ChunkClient,
+        port: int,
         origin: Origin,
         place_of: Callable[[bytes], ChunkPlace | None],
         on_chunk: Callable[[], None],
+        call_at: Callable[[float, Callable[[], None]], None],
+        link_bits_s: float,
         now: Callable[[], float],
         telemetry: Telemetry,
     ):
         self.store = BlobStore(sha256)
         self.chain = Chain(self_id, self.store)
+        self._self_id = self_id
         self._links = links
+        self._client = client
+        self._port = port
         self._origin = origin
         self._place_of = place_of
         self._on_chunk = on_chunk
         self._now = now
         self._telemetry = telemetry
+        self._call_at = call_at
+        self._uploads = UploadQueue(WAITING_PER_PEER, WAITING_TOTAL, first_run=None)
+        self._upload = TokenBucket(link_bits_s / 8 * LINK_SHARE, UPLOAD_BURST)
+        self._wake_at = 0.0
+        self._waiting: dict[tuple[str, bytes], Answer] = {}
         self._calls: dict[bytes, HttpCall] = {}
         #: Position up to which each peer was told what is held here.
         self._told: dict[str, int] = {}
 
     # Inputs.
 
+    def keep(self, digests: Iterable[bytes]) -> None:
+        """Drops all chunks but these."""
+        self.store.retain(digests)
+
     def want(self, digests: Iterable[bytes]) -> None:
-        """Replaces the wanted chunks and drops those no longer wanted."""
-        wanted = list(digests)
-        self.store.retain(wanted)
-        self.chain.want(wanted)
+        """Replaces the wanted chunks."""
+        self.chain.want(digests)
 
     def add(self, digest: bytes, data: bytes) -> bool:
         """Stores a chunk found elsewhere than at a source; False when its digest differs."""
         if not self.store.put(digest, data):
             return False
-        self.chain.arrived(digest, self._now())
+        self.chain.arrived(digest)
         return True
 
     def peer_up(self, peer_id: str) -> None:
@@ -122,6 +185,7 @@
     def peer_down(self, peer_id: str) -> None:
         """A link is gone."""
         self.chain.peer_down(peer_id)
+        self._uploads.peer_down(peer_id)
         self._told.pop(peer_id, None)
 
     @singledispatchmethod
@@ -133,24 +197,23 @@
         self.chain.peer_has(peer_id, msg.blobs, self._now())
         self.run()
 
-    @receive.register
-    def _(self, msg: Blob, peer_id: str) -> None:
-        self._arrived(msg.digest, peer_id, msg.data)
-
-    @receive.register
-    def _(self, msg: BlobRefused, peer_id: str) -> None:
-        self._telemetry.count("chunk.refused", msg.reason)
-        self.chain.refused(msg.digest, peer_id, self._now())
-        self.run()
-
-    @receive.register
-    def _(self, msg: FetchBlob, peer_id: str) -> None:
-        data = self.store.get(msg.digest)
-        if data is None:
-            self._links.send(peer_id, BlobRefused(msg.digest, "missing"))
+    def serve(self, request: CallerRequest) -> None:
+        """Gives a chunk to the agent that asks for it, when its turn has come."""
+        path, _, peer_id = request.target.decode("latin-1").partition("?")
+        digest = _digest(path)
+        if digest is None or not self.store.has(digest):
+            request.answer.send(404, [], b"")
+            return
+        if not self._uploads.offer(peer_id, digest, self.chain.is_next(peer_id)):
+            request.answer.send(503, [], b"")
             return
-        self._telemetry.count("chunk.sent")
-        self._links.send(peer_id, Blob(msg.digest, data))
+        self._waiting[peer_id, digest] = request.answer
+        request.answer.on_gone = lambda: self._give_up(peer_id, digest)
+        self._send_uploads()
+
+    def _give_up(self, peer_id: str, digest: bytes) -> None:
+        self._uploads.cancel(peer_id, digest)
+        self._waiting.pop((peer_id, digest), None)
 
     # Systems.
 
@@ -167,8 +230,14 @@
 
     @_carry_out.register
     def _(self, command: FetchFromPeer) -> None:
-        if not self._links.send(command.peer_id, FetchBlob(command.digest)):
-            self.chain.refused(command.digest, command.peer_id, self._now())
+        digest, peer_id = command.digest, command.peer_id
+        self._calls[digest] = self._client.call(
+            "GET",
+            (peer_id, self._port),
+            f"{CHUNK_PATH}{digest.hex()}?{self._self_id}",
+            lambda result: self._peer_answered(digest, peer_id, result),
+            silence_s=SILENCE_S,
+        )
 
     @_carry_out.register
     def _(self, command: FetchFromOrigin) -> None:
@@ -187,9 +256,42 @@
 
     @_carry_out.register
     def _(self, command: CancelFetch) -> None:
-        call = self._calls.pop(command.digest, None) if command.source == ORIGIN else None
+        call = self._calls.pop(command.digest, None)
         if call is not None:
-            self._origin.cancel(call)
+            self._client.cancel(call)
+
+    def _send_uploads(self) -> None:
+        now = self._now()
+        while len(self._uploads):
+            ready_at = self._upload.ready_at(UPLOAD_BURST, now)
+            if ready_at > now:
+                if self._wake_at <= now:
+                    self._wake_at = ready_at
+                    self._call_at(ready_at, self._send_uploads)
+                return
+            upload = self._uploads.take()
+            if upload is None:
+                return
+            answer = self._waiting.pop((upload.peer_id, upload.digest), None)
+            data = self.store.get(upload.digest)
+            if answer is None:
+                continue
+            if data is None:
+                answer.send(404, [], b"")
+                continue
+            self._upload.try_take(len(data), now)
+            self._telemetry.count("chunk.sent")
+            answer.send(200, [], data)
+
+    def _peer_answered(self, digest: bytes, peer_id: str, result: HttpResult) -> None:
+        self._calls.pop(digest, None)
+        if result.ok:
+            self._arrived(digest, peer_id, result.body)
+            return
+        reason = result.error or f"status {result.status}"
+        self._telemetry.event("chunk.failed", source=peer_id, reason=reason)
+        self.chain.refused(digest, peer_id, self._now())
+        self.run()
 
     def _origin_answered(self, digest: bytes, answer: bytes | str) -> None:
         self._calls.pop(digest, None)
@@ -203,7 +305,7 @@
     def _arrived(self, digest: bytes, source: str, data: bytes) -> None:
         if self.store.put(digest, data):
             self._telemetry.count("chunk.arrived", ORIGIN if source == ORIGIN else "peer")
-            self.chain.arrived(digest, self._now())
+            self.chain.arrived(digest)
             self._on_chunk()
         else:
             self._telemetry.event("chunk.corrupt", source=source, digest=digest.hex()[:16])
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -80,12 +80,30 @@
         """Returns a version, or None."""
         return self._rows.get(version)
 
-    def wanted(self) -> list[bytes]:
-        """Returns the chunks to hold, those to be fetched first at the front."""
-        rows = sorted(self._rows.values(), key=lambda row: row.version)
-        newest = rows[-1]
-        order = [row for row in rows[:-1] if row.started(self._held) or row.version == self._loaded]
-        return [digest for row in [*order, newest] for digest in row.digests or ()]
+    def kept(self) -> list[bytes]:
+        """Returns the chunks to hold."""
+        return [digest for row in self._rows.values() for digest in row.digests or ()]
+
+    def wanted(self) -> tuple[bytes, ...]:
+        """Returns the chunks to fetch now: those of one version.
+
+        Chunks of two versions at a time would share the link, and neither would be whole in time.
+        """
+        row = self._fetched()
+        return row.digests or () if row is not None else ()
+
+    def _fetched(self) -> VersionRow | None:
+        newest = self._rows[self.newest]
+        begun = [
+            row
+            for row in self._rows.values()
+            if row.version < newest.version
+            and row.started(self._held)
+            and not row.complete(self._held)
+        ]
+        if begun:
+            return max(begun, key=lambda row: row.version)
+        return None if newest.complete(self._held) else newest
 
     def to_load(self) -> VersionRow | None:
         """Returns the newest complete version that the engine lacks, or None."""
--- a/fescuechute/weights/_chain.py
+++ b/fescuechute/weights/_chain.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Container, Iterable, Sequence
 
 import attrs
@@ -29,18 +30,20 @@
 
     #: Fetches in flight from one source, and from all sources. Enough to fill a link while a request
     #: for the next chunk crosses a region boundary.
-    window: int = 3
-    parallel: int = 4
-    #: Age of an announcement by each agent further up the chain before it is asked instead of a
-    #: nearer one that lacks the chunk. A healthy neighbour has it within the time of a few chunks.
-    patience_s: float = 0.4
+    window: int = 5
+    parallel: int = 6
+    #: Time without an announcement after which a nearer agent counts as stalled, and the chunks by
+    #: which it may be behind the next one; then that one is asked too. Both are several times what a
+    #: healthy neighbour shows. Asking it sooner would split its link and slow the whole chain.
+    stall_s: float = 0.8
+    lag_chunks: int = 10
     #: Age of a fetch from which on its source counts as slow.
     slow_s: float = 0.7
     #: Time after which a fetch is given up, and for which its source is avoided then.
     fetch_s: float = 1.5
     avoid_s: float = 1.0
-    #: Time without any new chunk after which an agent asks the origin itself; grows with its place
-    #: in the chain, so that the first one of a region cut off does it alone.
+    #: Time without a new chunk at the agents before it after which an agent asks the origin itself;
+    #: grows with its place in the chain, so that the first one of a region cut off does it alone.
     takeover_s: float = 0.8
     takeover_step_s: float = 0.1
     #: Time after the wanted chunks changed in which links may come up before the origin is asked.
@@ -52,8 +55,10 @@
 @attrs.define
 class _Peer:
     id: str
-    #: Time at which each chunk was announced.
-    has: dict[bytes, float] = attrs.field(factory=dict)
+    #: Announced chunks, as an ordered set.
+    has: dict[bytes, None] = attrs.field(factory=dict)
+    #: Time at which it last announced a chunk that was missing here.
+    news_at: float = 0.0
     avoid_until: float = 0.0
 
 
@@ -81,13 +86,14 @@
         self._limits = limits or ChainLimits()
         self._place = 0
         self._before: tuple[str, ...] = ()
+        self._next = ""
         #: Missing chunks in the order in which they are fetched.
         self._missing: dict[bytes, None] = {}
         self._peers: dict[str, _Peer] = {}
         self._fetches: dict[bytes, _Fetch] = {}
         self._cancels: list[Command] = []
         self._origin_at = 0.0
-        self._progress_at = 0.0
+        self._news_at = 0.0
         self._wanted_at: float | None = None
 
     # Inputs.
@@ -112,6 +118,7 @@
         ring = order[self._place + 1 :] + order[: self._place]
         # The nearest first; the first agent of the chain looks to its end.
         self._before = tuple(reversed(ring))[:PREDECESSORS]
+        self._next = ring[0] if ring else ""
         return self._before
 
     def peer_up(self, peer_id: str) -> None:
@@ -131,15 +138,14 @@
         if peer is None:
             return
         for digest in digests:
-            peer.has.setdefault(digest, now)
+            peer.has[digest] = None
             if digest in self._missing:
-                self._progress_at = now
+                peer.news_at = self._news_at = now
 
-    def arrived(self, digest: bytes, now: float) -> None:
+    def arrived(self, digest: bytes) -> None:
         """A chunk was verified and stored."""
         self._missing.pop(digest, None)
         self._fetches.pop(digest, None)
-        self._progress_at = now
 
     def bad(self, digest: bytes, source: str, now: float) -> None:
         """A chunk failed verification."""
@@ -159,17 +165,29 @@
 
     # Views.
 
+    def is_next(self, peer_id: str) -> bool:
+        """Returns whether an agent is the one right behind this one in the chain."""
+        return peer_id == self._next
+
     @property
     def missing(self) -> int:
         """Number of wanted chunks that are not held."""
         return len(self._missing)
 
+    def sources(self) -> dict[str, int]:
+        """Returns the number of wanted chunks that each linked agent announced."""
+        return {peer.id: self._available(peer) for peer in self._linked()}
+
+    def fetching(self) -> dict[str, int]:
+        """Returns the number of fetches in flight by source."""
+        return dict(Counter(fetch.source for fetch in self._fetches.values()))
+
     # Decisions.
 
     def plan(self, now: float) -> list[Command]:
         """Returns the commands that are due."""
         if self._wanted_at is None:
-            self._wanted_at = self._progress_at = now
+            self._begin(now)
         commands, self._cancels = self._cancels, []
         commands += self._expire(now)
         for digest in list(self._missing):
@@ -197,52 +215,64 @@
                 self._peers[fetch.source].avoid_until = now + self._limits.avoid_s
         return [CancelFetch(fetch.source, digest) for digest, fetch in late]
 
+    def _begin(self, now: float) -> None:
+        self._wanted_at = self._news_at = now
+        for peer in self._peers.values():
+            peer.news_at = now
+
     def _source(self, digest: bytes, now: float) -> str | None:
-        held_by_peer = False
-        near_is_slow = True
-        passed = 0
+        is_held = False
         for peer in self._linked():
-            in_flight = [fetch for fetch in self._fetches.values() if fetch.source == peer.id]
-            slow = any(now - fetch.started_at >= self._limits.slow_s for fetch in in_flight)
-            usable = now >= peer.avoid_until
-            announced_at = peer.has.get(digest)
-            if announced_at is not None and usable:
-                held_by_peer = True
-                waited = now - announced_at >= passed * self._limits.patience_s
-                may_ask = (
-                    passed == 0 or near_is_slow or (waited and not self._near_has(digest, peer))
-                )
-                if may_ask and len(in_flight) < self._limits.window:
+            if now < peer.avoid_until:
+                continue
+            if digest in peer.has:
+                is_held = True
+                if self._in_flight(peer.id) < self._limits.window:
                     return peer.id
-            if usable:
-                near_is_slow = near_is_slow and slow
-                passed += 1
-        if not held_by_peer and self._may_ask_origin(now):
-            return ORIGIN
-        return None
+            if not self._passes_over(peer, now):
+                # Its turn: farther agents are left to those next to them.
+                return None
+        return ORIGIN if not is_held and self._may_ask_origin(now) else None
+
+    def _passes_over(self, peer: _Peer, now: float) -> bool:
+        """Returns whether the agent before this peer may be asked as well."""
+        limits = self._limits
+        if any(
+            now - fetch.started_at >= limits.slow_s
+            for fetch in self._fetches.values()
+            if fetch.source == peer.id
+        ):
+            return True
+        if self._available(peer):
+            return False
+        if now - peer.news_at >= limits.stall_s:
+            return True
+        linked = self._linked()
+        farther = linked[linked.index(peer) + 1 :]
+        if any(self._available(other) for other in farther):
+            # Each agent is compared with the next one only: the distance along a healthy chain
+            # adds up.
+            return self._available(farther[0]) >= limits.lag_chunks
+        # Nobody farther has anything either, so the origin is the question.
+        return True
+
+    def _available(self, peer: _Peer) -> int:
+        return len(peer.has.keys() & self._missing.keys())
+
+    def _in_flight(self, source: str) -> int:
+        return sum(fetch.source == source for fetch in self._fetches.values())
 
     def _linked(self) -> list[_Peer]:
         return [self._peers[peer_id] for peer_id in self._before if peer_id in self._peers]
 
-    def _near_has(self, digest: bytes, peer: _Peer) -> bool:
-        for other in self._linked():
-            if other is peer:
-                return False
-            if digest in other.has:
-                return True
-        return False
-
     def _may_ask_origin(self, now: float) -> bool:
-        if now < self._origin_at:
-            return False
-        in_flight = sum(fetch.source == ORIGIN for fetch in self._fetches.values())
-        if in_flight >= self._limits.window:
+        if now < self._origin_at or self._in_flight(ORIGIN) >= self._limits.window:
             return False
         if self._place == 0:
             linked = all(peer_id in self._peers for peer_id in self._before)
             return linked or now - (self._wanted_at or 0.0) >= self._limits.links_s
         patience_s = self._limits.takeover_s + self._place * self._limits.takeover_step_s
-        return now - self._progress_at >= patience_s or in_flight > 0
+        return now - self._news_at >= patience_s
 
 
 def _fetch(source: str, digest: bytes, deadline: float) -> Command:
--- a/fescuechute/weights/_uploads.py
+++ b/fescuechute/weights/_uploads.py
@@ -75,9 +75,20 @@
 
     First copies (a request from another region, or for a chunk with a single holder) go first,
     because every other copy in that region waits for them.
+
+    Args:
+      per_peer: Requests of one peer that may wait.
+      total: Requests that may wait in all.
+      first_run: First copies in a row before an ordinary request, or None for no bound.
     """
 
-    def __init__(self, per_peer: int = QUEUE_PER_PEER, total: int = QUEUE_TOTAL):
+    def __init__(
+        self,
+        per_peer: int = QUEUE_PER_PEER,
+        total: int = QUEUE_TOTAL,
+        first_run: int | None = FIRST_COPY_RUN,
+    ):
+        self._first_run = first_run
         self._per_peer = per_peer
         self._total = total
         #: Waiting digests by peer, in the order in which peers are served.
@@ -108,7 +119,7 @@
     def take(self, ready: Callable[[str], bool] = lambda peer_id: True) -> Upload | None:
         """Removes and returns the next request of a peer that is ready for data."""
         lanes = (self._first, self._rest)
-        if self._run >= FIRST_COPY_RUN and self._rest:
+        if self._first_run is not None and self._run >= self._first_run and self._rest:
             lanes = (self._rest, self._first)
         for lane in lanes:
             peer_id = next((peer_id for peer_id in lane if ready(peer_id)), None)
