--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -28,6 +28,9 @@
 #: Seconds without an event after which a stream that may be resumed goes on elsewhere. Clients wait
 #: at least 2 s for the next event.
 STREAM_SILENCE_S = 1.2
+#: Statuses that promise that a request has not run. Without the replica's own word for it they are
+#: not passed on.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 #: Least seconds that must be left for another attempt.
 LEAST_LEFT_S = 0.1
 
@@ -166,6 +169,8 @@
             self._stream_ended(attempt)
         elif attempt.status < 300 and not attempt.meta.sealed:
             self._ran(attempt, "unsealed")
+        elif attempt.status in NOT_RUN_STATUSES:
+            self._ran(attempt, "unproved refusal")
         elif attempt.status >= 500:
             self._fallback = (attempt.status, end_to_end(attempt.headers), bytes(attempt.body))
             self._ran(attempt, f"status {attempt.status}")
--- a/fescuechute/stager/_sharing.py
+++ b/fescuechute/stager/_sharing.py
@@ -176,7 +176,7 @@
         """Stores a chunk found elsewhere than at a source; False when its digest differs."""
         if not self.store.put(digest, data):
             return False
-        self.chain.arrived(digest)
+        self.chain.arrived(digest, self._now())
         return True
 
     def peer_up(self, peer_id: str) -> None:
@@ -319,7 +319,7 @@
     def _arrived(self, digest: bytes, source: str, data: bytes) -> None:
         if self.store.put(digest, data):
             self._telemetry.count("chunk.arrived", ORIGIN if source == ORIGIN else "peer")
-            self.chain.arrived(digest)
+            self.chain.arrived(digest, self._now())
             self._pass_on(digest)
             self._on_chunk()
         else:
--- a/fescuechute/weights/_chain.py
+++ b/fescuechute/weights/_chain.py
@@ -37,10 +37,10 @@
     #: healthy neighbour shows. Asking it sooner would split its link and slow the whole chain.
     stall_s: float = 0.8
     lag_chunks: int = 10
-    #: Age of a fetch from which on its source counts as slow.
+    #: Time without a chunk from the source of a fetch from which on it counts as slow.
     slow_s: float = 0.7
-    #: Time after which a fetch of an announced chunk is given up, and for which its source is avoided
-    #: then. One that was asked for ahead is given up when its source stalls.
+    #: Time without a chunk from its source after which a fetch of an announced chunk is given up, and
+    #: for which the source is avoided then. One that was asked for ahead is given up when its source stalls.
     fetch_s: float = 1.5
     avoid_s: float = 1.0
     #: Time for which a source is avoided after it refused a chunk.
@@ -96,6 +96,9 @@
         self._peers: dict[str, _Peer] = {}
         self._fetches: dict[bytes, _Fetch] = {}
         self._cancels: list[Command] = []
+        #: Time at which each source last gave a chunk. A slow link serves its fetches one by one, so
+        #: the age of a fetch alone says little.
+        self._served_at: dict[str, float] = {}
         self._origin_at = 0.0
         self._news_at = 0.0
         self._wanted_at: float | None = None
@@ -149,10 +152,12 @@
             if fetch is not None and fetch.source == peer_id:
                 fetch.started_at = min(fetch.started_at, now)
 
-    def arrived(self, digest: bytes) -> None:
+    def arrived(self, digest: bytes, now: float) -> None:
         """A chunk was verified and stored."""
         self._missing.pop(digest, None)
-        self._fetches.pop(digest, None)
+        fetch = self._fetches.pop(digest, None)
+        if fetch is not None:
+            self._served_at[fetch.source] = now
 
     def bad(self, digest: bytes, source: str, now: float) -> None:
         """A chunk failed verification."""
@@ -238,7 +243,7 @@
         late = [
             (digest, fetch)
             for digest, fetch in self._fetches.items()
-            if now - fetch.started_at >= self._limits.fetch_s or self._in_vain(fetch, now)
+            if self._age(fetch, now) >= self._limits.fetch_s or self._in_vain(fetch, now)
         ]
         for digest, fetch in late:
             del self._fetches[digest]
@@ -248,6 +253,10 @@
                 self._peers[fetch.source].avoid_until = now + self._limits.avoid_s
         return [CancelFetch(fetch.source, digest) for digest, fetch in late]
 
+    def _age(self, fetch: _Fetch, now: float) -> float:
+        """Returns the time since the source of a fetch could have served it, or served another."""
+        return now - max(fetch.started_at, self._served_at.get(fetch.source, 0.0))
+
     def _in_vain(self, fetch: _Fetch, now: float) -> bool:
         peer = self._peers.get(fetch.source)
         return fetch.started_at > now and peer is not None and self._stalls(peer, now)
@@ -278,7 +287,7 @@
         """Returns whether the agent before this peer may be asked as well."""
         limits = self._limits
         if any(
-            now - fetch.started_at >= limits.slow_s
+            self._age(fetch, now) >= limits.slow_s
             for fetch in self._fetches.values()
             if fetch.source == peer.id
         ):
--- /dev/null
+++ b/tests/feeds/test_feed.py
@@ -0,0 +1,113 @@
+"""Feeds: guards against lost, doubled or wrongly dated records."""
+
+from random import Random
+
+import pytest
+
+from fescuechute.feeds import (
+    Failure,
+    Feed,
+    FeedSettings,
+    KeyedRecord,
+    RecordBatch,
+    SnapshotPage,
+    Trimmed,
+)
+
+
+class Log:
+    """Answers each call with what the test queued."""
+
+    def __init__(self):
+        self.calls = []
+
+    def snapshot(self, topic, after, on_end):
+        self.calls.append((("snapshot", after), on_end))
+
+    def read(self, topic, offset, wait_s, on_end):
+        self.calls.append((("read", offset), on_end))
+
+
+class Case:
+    """One feed with everything that it said."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.log, self.records, self.snapshots, self.states = Log(), [], [], []
+        self.feed = Feed(
+            self.log,
+            FeedSettings("t", 1.0),
+            lambda: self.now,
+            self.records.append,
+            self.snapshots.append,
+            self.states.append,
+            Random(1),
+        )
+
+    def answer(self, outcome, after_s=0.01):
+        self.feed.tick(self.now)
+        call, on_end = self.log.calls.pop()
+        self.now += after_s
+        on_end(outcome)
+        return call
+
+
+def record(offset, key="k", value=b"v"):
+    return KeyedRecord(offset, key, value)
+
+
+def test_reads_on_from_the_end_of_the_first_page():
+    """Guards against records lost between two pages of a snapshot."""
+    case = Case()
+    assert case.answer(SnapshotPage((record(3, "a"),), True, 7)) == ("snapshot", "")
+    assert not case.feed.complete
+    assert case.answer(SnapshotPage((record(9, "b"),), False, 10)) == ("snapshot", "a")
+    assert case.snapshots == [frozenset({"a", "b"})]
+    assert case.answer(RecordBatch((record(7),), 8)) == ("read", 7)
+    assert case.answer(RecordBatch((), 8)) == ("read", 8)
+
+
+def test_is_confirmed_at_the_time_of_the_question():
+    """Guards against revoked keys that count as fresh: the answer may have been on its way long."""
+    case = Case()
+    case.answer(SnapshotPage((), False, 5))
+    asked_at = case.now
+    case.answer(RecordBatch((), 5), after_s=4.0)
+    assert case.feed.confirmed_at == asked_at
+
+
+def test_is_not_confirmed_by_a_batch_that_stops_short_of_the_end():
+    """Guards against counting as complete what has been read in part."""
+    case = Case()
+    case.answer(SnapshotPage((), False, 5))
+    before = case.feed.confirmed_at
+    case.answer(RecordBatch((record(5),), 9))
+    assert case.feed.confirmed_at == before
+
+
+@pytest.mark.parametrize("outcome", [Failure("down"), Trimmed()])
+def test_goes_on_after_a_fault(outcome):
+    """Guards against a feed that stops for good; each loss is reported once."""
+    case = Case()
+    case.answer(SnapshotPage((), False, 5))
+    case.answer(outcome)
+    case.now += 1.0
+    if isinstance(outcome, Trimmed):
+        assert case.answer(SnapshotPage((record(8),), False, 9)) == ("snapshot", "")
+        assert case.states == []
+    else:
+        assert case.answer(RecordBatch((), 5)) == ("read", 5)
+        assert case.states == ["down", ""]
+
+
+def test_backs_off_while_the_log_is_away():
+    """Guards against an outage that multiplies the calls."""
+    case = Case()
+    calls = 0
+    for _ in range(200):
+        case.feed.tick(case.now)
+        if case.log.calls:
+            calls += 1
+            case.log.calls.pop()[1](Failure("down"))
+        case.now += 0.01
+    assert calls <= 10
--- /dev/null
+++ b/tests/gateway/transfers.py
@@ -0,0 +1,160 @@
+"""A transfer with everything around it replaced: what it sends, to whom, and what the client gets."""
+
+from __future__ import annotations
+
+import attrs
+
+from fescuechute.catalog import (
+    Registration,
+    Repeat,
+    RequestMeta,
+    Route,
+    Service,
+    UpstreamState,
+    WeightedService,
+)
+from fescuechute.checks import Address
+from fescuechute.forwarding import CallerRequest
+from fescuechute.gateway import Allowed, Choice, Transfer, UpstreamRow
+
+SEAL = (b"X-Fescuechute-Response-Seal", b"s")
+NOT_RUN = (b"X-Fescuechute-Not-Executed", b"1")
+
+
+class Client:
+    """Stands in for the answer to the client."""
+
+    def __init__(self):
+        self.is_open = True
+        self.started = False
+        self.status = None
+        self.headers = []
+        self.body = b""
+        #: `whole`, `ended`, `aborted` or empty while the answer is open.
+        self.end = ""
+        self.on_gone = lambda: None
+
+    def send(self, status, headers, body):
+        assert self.is_open and not self.started
+        self.is_open, self.status, self.headers, self.body = False, status, headers, body
+        self.end = "whole"
+
+    def start(self, status, headers):
+        self.started, self.status, self.headers = True, status, headers
+
+    def write(self, data):
+        assert self.is_open and self.started
+        self.body += data
+
+    def end_stream(self):
+        self.is_open, self.end = False, "ended"
+
+    def abort(self):
+        self.is_open, self.end = False, "aborted"
+
+
+@attrs.define(eq=False)
+class Call:
+    """One attempt as it was sent."""
+
+    attempt: object
+    request: object
+    sent: bool = True
+    cancelled: bool = False
+
+    def answers(self, status, body=b"", headers=(SEAL,)):
+        """The replica answers."""
+        self.attempt.on_head(status, list(headers))
+        if body:
+            self.attempt.on_data(body)
+        self.attempt.on_end()
+
+    def streams(self, *events):
+        """The replica sends events, without the end."""
+        if not self.attempt.status:
+            self.attempt.on_head(200, [SEAL])
+        for event in events:
+            self.attempt.on_data(event)
+
+
+class Case:
+    """One request, replicas `u1`, `u2`, … and a budget."""
+
+    def __init__(self, repeat=Repeat.IDEMPOTENT, resumable=False, upstreams=3, budget=5):
+        self.time = 1000.0
+        self.calls: list[Call] = []
+        self.outcomes: list[str] = []
+        self.results = []
+        self.budget = budget
+        self.client = Client()
+        self.client.end_stream = self.client.end_stream
+        route = Route(
+            "r", "a.example", "/a/", repeat, (WeightedService("app", 1),), 6.0, 0.4, 0.4, 0, 2,
+            False, resumable,
+        )  # fmt: skip
+        self.rows = [_row(f"u{n + 1}") for n in range(upstreams)]
+        meta = RequestMeta("9c41", "k", 5.0, None, "", 100, 50, 0)
+        request = CallerRequest(
+            b"POST", b"/a/x?q=1", [(b"Host", b"a.example")], b"body", self.time, False, _Port(self)
+        )
+        self.transfer = Transfer(
+            request, meta, Allowed(route, "app", "w", 0, 1), Service("app"), self
+        )
+        self.transfer.start()
+
+    # The port of a transfer.
+
+    def now(self):
+        return self.time
+
+    def choose(self, wanted):
+        rows = [row for row in self.rows if row.instance not in wanted.excluded]
+        return Choice(rows[0], 0.1, None, len(rows)) if rows else None
+
+    def send(self, transfer, attempt, request, max_idle_s):
+        self.calls.append(Call(attempt, request))
+        return self.calls[-1]
+
+    def cancel(self, call):
+        call.cancelled = True
+
+    def may_repeat(self, transfer):
+        self.budget -= 1
+        return self.budget >= 0
+
+    def retry_after_s(self, transfer):
+        return 0.5
+
+    def attempt_ended(self, transfer, attempt, outcome):
+        self.outcomes.append(outcome)
+
+    def ended(self, transfer, status, reason, ran):
+        self.results.append((status, str(reason), None if ran is None else str(ran)))
+
+    def wait(self, seconds):
+        self.time += seconds
+        self.transfer.tick(self.time)
+
+
+class _Port:
+    """The answer under the names that a transfer uses."""
+
+    def __init__(self, case):
+        object.__setattr__(self, "_case", case)
+
+    def __getattr__(self, name):
+        client = self._case.client
+        return client.end_stream if name == "end" else getattr(client, name)
+
+    def __setattr__(self, name, value):
+        setattr(self._case.client, name, value)
+
+
+def _row(instance):
+    entry = Registration(instance, "app", Address("10.0.0.1", 1), "z", UpstreamState.READY, 4)
+    return UpstreamRow(entry, "r")
+
+
+def event(number, text="x"):
+    """Returns one whole event of a stream."""
+    return f"id: {number}\ndata: {text}\n\n".encode()
--- /dev/null
+++ b/tests/weights/chains.py
@@ -0,0 +1,147 @@
+"""A swarm of agents on a chain over links with a rate, with peers that stall, die or send rubbish."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+
+from fescuechute.weights import ORIGIN, CancelFetch, Chain, FetchFromOrigin
+
+#: Seconds that a chunk takes on a link, and that a message takes to another agent.
+CHUNK_S = 0.05
+HOP_S = 0.004
+#: Seconds between two ticks of an agent.
+TICK_S = 0.05
+
+
+class Agent:
+    """One agent: its chain, what it holds, and when its uplink is free."""
+
+    def __init__(self, name: str, held: set[bytes]):
+        self.name = name
+        self.held = held
+        self.chain = Chain(name, held)
+        self.up_free_at = 0.0
+        self.down_free_at = 0.0
+        self.alive = True
+        #: Factor of the time that a chunk takes on its links.
+        self.slow = 1.0
+        self.told: set[bytes] = set()
+        self.parked: list[tuple[str, bytes]] = []
+        self.done_at: float | None = None
+
+
+class Swarm:
+    """Runs the agents until all that are alive hold everything."""
+
+    def __init__(self, count: int, chunks: int, holders: int = 0):
+        self.digests = [b"%d" % n for n in range(chunks)]
+        names = [f"a{n:02}" for n in range(count)]
+        self.agents = {
+            name: Agent(name, set(self.digests) if n < holders else set())
+            for n, name in enumerate(names)
+        }
+        self.names = names
+        self.now = 0.0
+        self.origin_sent = 0
+        self.origin_free_at = 0.0
+        self.origin_down = False
+        self._events: list = []
+        self._order = itertools.count()
+
+    def at(self, time: float, function) -> None:
+        heapq.heappush(self._events, (time, next(self._order), function))
+
+    def run(self, limit_s: float = 60.0) -> float:
+        """Returns the seconds until every living agent holds everything."""
+        for agent in self.agents.values():
+            for name in agent.chain.set_order(self.names):
+                self._link(agent, self.agents[name])
+        for n, agent in enumerate(self.agents.values()):
+            agent.chain.want(self.digests)
+            self.at(n * 0.001, lambda agent=agent: self._tick(agent))
+        while self._events and not self._complete():
+            self.now, _, function = heapq.heappop(self._events)
+            assert self.now < limit_s, {a.name: len(a.held) for a in self.agents.values()}
+            function()
+        return self.now
+
+    def kill(self, name: str) -> None:
+        agent = self.agents[name]
+        agent.alive = False
+        for other in self.agents.values():
+            other.chain.peer_down(name)
+
+    def _complete(self) -> bool:
+        return all(
+            len(agent.held) == len(self.digests) for agent in self.agents.values() if agent.alive
+        )
+
+    def _link(self, one: Agent, other: Agent) -> None:
+        if one is not other and one.alive and other.alive:
+            one.chain.peer_up(other.name)
+            other.chain.peer_up(one.name)
+
+    def _tick(self, agent: Agent) -> None:
+        if not agent.alive:
+            return
+        self._plan(agent)
+        news = [digest for digest in self.digests if digest in agent.held - agent.told]
+        agent.told |= agent.held
+        for other in self.agents.values():
+            if news and other.alive and agent.chain.is_behind(other.name):
+                self.at(
+                    self.now + HOP_S,
+                    lambda other=other: other.chain.peer_has(agent.name, news, self.now),
+                )
+        self.at(self.now + TICK_S, lambda: self._tick(agent))
+
+    def _plan(self, agent: Agent) -> None:
+        for command in agent.chain.plan(self.now):
+            if isinstance(command, CancelFetch):
+                source = self.agents.get(command.source)
+                if source is not None and (agent.name, command.digest) in source.parked:
+                    source.parked.remove((agent.name, command.digest))
+            elif isinstance(command, FetchFromOrigin):
+                self._from_origin(agent, command.digest)
+            else:
+                source = self.agents[command.peer_id]
+                digest = command.digest
+                self.at(
+                    self.now + HOP_S,
+                    lambda source=source, digest=digest: self._asked(source, agent, digest),
+                )
+
+    def _from_origin(self, agent: Agent, digest: bytes) -> None:
+        if self.origin_down:
+            agent.chain.refused(digest, ORIGIN, self.now)
+            return
+        self.origin_sent += 1
+        self.origin_free_at = max(self.now, self.origin_free_at) + CHUNK_S / 2
+        self._deliver(agent, digest, self.origin_free_at, ORIGIN)
+
+    def _asked(self, source: Agent, agent: Agent, digest: bytes) -> None:
+        if not source.alive:
+            return
+        if digest not in source.held:
+            source.parked.append((agent.name, digest))
+            return
+        source.up_free_at = max(self.now, source.up_free_at) + CHUNK_S * source.slow
+        self._deliver(agent, digest, source.up_free_at, source.name)
+
+    def _deliver(self, agent: Agent, digest: bytes, sent_at: float, source: str) -> None:
+        agent.down_free_at = max(sent_at, agent.down_free_at + CHUNK_S * agent.slow)
+        self.at(agent.down_free_at + HOP_S, lambda: self._arrive(agent, digest, source))
+
+    def _arrive(self, agent: Agent, digest: bytes, source: str) -> None:
+        if not agent.alive or (source != ORIGIN and not self.agents[source].alive):
+            return
+        agent.held.add(digest)
+        agent.chain.arrived(digest, self.now)
+        if len(agent.held) == len(self.digests):
+            agent.done_at = self.now
+        for name, wanted in list(agent.parked):
+            if wanted == digest:
+                agent.parked.remove((name, wanted))
+                self._asked(agent, self.agents[name], digest)
+        self._plan(agent)
