Leave slots free for urgent work, refuse for longer, bind restarts earlier, ask the origin less

Change: 3, 0 and -2 requests beyond the slots by rank; clients come back after 0.2 to 0.32 of their time; a version known at the start binds one second before the settling time ends; four fetches from the origin.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -14,9 +14,9 @@
 #: Seconds that a hop to another data centre, and to another region, is taken to cost.
 OTHER_ZONE_S = 0.002
 OTHER_REGION_S = 0.004
-#: Requests that may wait at an engine beyond its slots, by rank; ranks beyond have the last figure.
-#: Urgent work waits in the engine, which admits it first; the rest keeps slots free for it.
-WAITING_BY_RANK = (6, 2, 0)
+#: Requests at an engine beyond its slots up to which it gets more, by rank; ranks beyond have the last
+#: figure. Each request slows the first events of all others, so the less urgent leave slots free.
+BEYOND_SLOTS_BY_RANK = (3, 0, -2)
 #: Cost in seconds of a replica that fails every request; those that fail some cost their share.
 FAILURE_COST_S = 2.0
 
@@ -88,7 +88,7 @@
         engine = wanted.service.engine
         if engine is None:
             return wanted.service.max_connections
-        return engine.slots + WAITING_BY_RANK[min(wanted.rank, len(WAITING_BY_RANK) - 1)]
+        return engine.slots + BEYOND_SLOTS_BY_RANK[min(wanted.rank, len(BEYOND_SLOTS_BY_RANK) - 1)]
 
     def _cost(self, row: UpstreamRow, wanted: Wanted) -> float:
         engine: EngineProfile | None = wanted.service.engine
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -33,6 +33,8 @@
 #: Seconds for which new connections are still taken after the request to stop. The load balancer
 #: asks once a second and takes a process out after two misses.
 ACCEPT_S = 3.0
+#: Seconds that the program takes to start, at most, before its clock is read.
+STARTUP_S = 1.0
 #: Part of the time before the kill that is used to end what is under way.
 GRACE_SHARE = 0.85
 
@@ -204,7 +206,8 @@
         # run for a while, so the declaration is taken to bind from then on.
         since = self.operators.confirmed_at
         if since is None:
-            since = self.clock.now() + promises.settle_s - promises.version_s
+            settled_at = self._started_at - STARTUP_S + promises.settle_s
+            since = settled_at - promises.version_s
         if self.versions.declare(declared.model, declared.version, since):
             self.telemetry.event(
                 "version.declared",
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -14,10 +14,10 @@
 from fescuechute.settings import Promises
 from fescuechute.telemetry import Telemetry
 
-#: Bounds of the time to come back that a refused client is given, in seconds. Clients honour up to
-#: a third of the time that they have left.
-RETRY_AFTER_MIN_S = 0.3
-RETRY_AFTER_MAX_S = 0.9
+#: Time to come back that a refused client is given, as a share of the time that it has left. Clients
+#: honour up to a third; they come back once, so it should be late rather than early.
+RETRY_AFTER_MIN_SHARE = 0.2
+RETRY_AFTER_MAX_SHARE = 0.32
 #: Part of the shared retry budget that is used, so that gateways with different views of their
 #: number stay within it together.
 BUDGET_SHARE = 0.7
@@ -117,7 +117,8 @@
 
     def retry_after_s(self, transfer: Transfer) -> float:
         """Returns when a client should come back; spread out, so that they do not meet again."""
-        return self._rng.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+        share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
+        return share * max(0.0, transfer.deadline - self.now())
 
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Accounts for an attempt that has ended."""
--- a/fescuechute/weights/_chain.py
+++ b/fescuechute/weights/_chain.py
@@ -32,6 +32,8 @@
     #: window, and the way back of a busy link is slow, so that few of them do not fill it.
     window: int = 12
     parallel: int = 14
+    #: The same for the origin, which has a link for itself; more would queue in front of requests.
+    origin_window: int = 4
     #: Time without an announcement after which a nearer agent counts as stalled, and the chunks by
     #: which it may be behind the next one; then that one is asked too. Both are several times what a
     #: healthy neighbour shows. Asking it sooner would split its link and slow the whole chain.
@@ -321,7 +323,7 @@
         return [self._peers[peer_id] for peer_id in self._before if peer_id in self._peers]
 
     def _may_ask_origin(self, now: float) -> bool:
-        if now < self._origin_at or self._in_flight(ORIGIN) >= self._limits.window:
+        if now < self._origin_at or self._in_flight(ORIGIN) >= self._limits.origin_window:
             return False
         if self._place == 0:
             linked = all(peer_id in self._peers for peer_id in self._before)
