Take other gateways to choose alike since the last report

Change: since the last report each other gateway counts as having sent as many requests as this one.

--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -76,6 +76,7 @@
         """Sends an attempt."""
         row = attempt.choice.row
         row.in_flight += 1
+        row.sent_since += 1
         if transfer.streaming:
             attempt.unread_tokens = transfer.meta.prompt_tokens
             row.unread_tokens += attempt.unread_tokens
@@ -87,7 +88,7 @@
             upstream=row.instance,
             expected_ms=round(attempt.choice.expected_s * 1000),
             own=row.in_flight,
-            others=row.others,
+            others=row.total - row.in_flight,
             report_age_ms=round((now - row.reported_at) * 1000) if row.reported_at else None,
             candidates=attempt.choice.candidates,
             version=attempt.choice.version,
--- a/fescuechute/gateway/_forecast.py
+++ b/fescuechute/gateway/_forecast.py
@@ -39,7 +39,7 @@
     """
     running = min(row.total, profile.slots)
     pass_s = profile.stride * step_s(profile, running)
-    reading = reading_s(profile, prompt_tokens) + row.unread_tokens / profile.read_tokens_per_s
+    reading = reading_s(profile, prompt_tokens) + row.all_unread_tokens / profile.read_tokens_per_s
     ahead = row.total - profile.slots + 1
     waiting = max(0, ahead) * service_s(profile) / profile.slots
     return row.pace * (waiting + 1.5 * pass_s + reading)
--- a/fescuechute/gateway/_loads.py
+++ b/fescuechute/gateway/_loads.py
@@ -76,4 +76,5 @@
                 models, msg.loading, 0, msg.waiting, msg.running, 0, 0, msg.pace, msg.born_ms
             ),
             now,
+            self.gateways(now) - 1,
         )
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -30,6 +30,9 @@
     unread_tokens: int = 0
     #: Requests of all gateways there, from the last report, less our own at that time.
     others: int = 0
+    #: Requests of this gateway since the last report, and the other gateways that report shares.
+    sent_since: int = 0
+    other_gateways: int = 0
     #: Unix seconds of the last report, 0 before the first.
     reported_at: float = 0.0
     #: Time of a step relative to the profile of the engine.
@@ -53,12 +56,23 @@
 
     @property
     def total(self) -> int:
-        """Requests believed to be there, of all gateways."""
-        return self.in_flight + self.others
+        """Requests believed to be there, of all gateways.
 
-    def report(self, report: EngineReport, now: float) -> None:
+        The others see the same reports and choose alike, so each is taken to have sent as many
+        since the last report as this one.
+        """
+        return self.in_flight + self.others + self.sent_since * self.other_gateways
+
+    @property
+    def all_unread_tokens(self) -> int:
+        """Prompt tokens believed to be unread there, of all gateways."""
+        return self.unread_tokens * (1 + self.other_gateways)
+
+    def report(self, report: EngineReport, now: float, other_gateways: int = 0) -> None:
         """Takes over what the engine says of its load."""
         self.others = max(0, report.running + report.waiting - self.in_flight)
+        self.sent_since = 0
+        self.other_gateways = other_gateways
         self.reported_at = now
         self.pace = report.pace
         self.loading = report.busy
