Play a gateway as a process before stand-ins of the store and of replicas

Change: standins/platform, tests/platform; a change of a replica's state leaves a line, which the first run of the test of a draining replica showed to be missing.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -229,7 +229,8 @@
             self._withdrawn(record.key)
             return
         known = self.upstreams.get(entry.instance)
-        if self.upstreams.register(entry) or (known and known.entry.state is not entry.state):
+        before = known.entry if known is not None else None
+        if self.upstreams.register(entry) or (before and before.state is not entry.state):
             self.telemetry.event(
                 "upstream",
                 upstream=entry.instance,
@@ -238,7 +239,7 @@
                 state=entry.state,
                 offset=record.offset,
             )
-        if known is not None and known.entry.address != entry.address:
+        if before is not None and before.address != entry.address:
             self.client.drop(entry.instance)
 
     def _on_registry(self, keys: frozenset[str]) -> None:
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: the metadata store and a replica."""
--- /dev/null
+++ b/standins/platform/replica.py
@@ -0,0 +1,85 @@
+"""A replica behind the platform's protocol: seals its answers, names its instance, streams events.
+
+Paths that end in `/stream` answer with `--events` events, all others with the body of the request.
+Faults: `delay_s` before each answer, `fail_next` (500 for the next n), `refuse_next` (503 not run for the
+next n), `cut_next` (the next n streams break after their first event), `pause_s` between events.
+`GET /runs` lists the ids of the requests that ran, with the fields that the replica was sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from standins._server import Faults, make_app, make_parser, run
+
+_ID = "X-Fescuechute-Request-Id"
+#: Seconds between the first event of a stream and its cut.
+_CUT_AFTER_S = 0.1
+
+
+class Replica:
+    """Requests that ran."""
+
+    def __init__(self, faults: Faults, instance: str, events: int):
+        self._faults = faults
+        self._instance = instance
+        self._events = events
+        self._runs: list[dict[str, Any]] = []
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        headers = {_ID: request.headers.get(_ID, ""), "X-Fescuechute-Instance-Id": self._instance}
+        if request.headers.get("X-Fescuechute-Target-Instance") != self._instance:
+            return web.Response(status=421, headers=headers)
+        if self._faults.take("refuse_next"):
+            headers["X-Fescuechute-Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
+        self._runs.append({"id": headers[_ID], "headers": dict(request.headers)})
+        headers["X-Fescuechute-Response-Seal"] = f"seal.{headers[_ID]}"
+        await asyncio.sleep(self._faults["delay_s"])
+        if self._faults.take("fail_next"):
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if request.path.endswith("/stream"):
+            return await self._stream(request, headers)
+        return web.Response(headers=headers, body=b"echo " + body)
+
+    async def _stream(self, request: web.Request, headers: dict[str, str]) -> web.StreamResponse:
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        cut = self._faults.take("cut_next")
+        for number in range(first, self._events + 1):
+            await response.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            if cut:
+                # A reset can overtake what was sent, and then no event arrives.
+                await asyncio.sleep(_CUT_AFTER_S)
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await asyncio.sleep(self._faults["pause_s"])
+        await response.write_eof()
+        return response
+
+    async def runs(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._runs)
+
+
+def main() -> None:
+    """Runs the stand-in until it is stopped."""
+    parser = make_parser(__doc__)
+    parser.add_argument("--instance", required=True)
+    parser.add_argument("--events", type=int, default=5)
+    args = parser.parse_args()
+    faults = Faults(delay_s=0.0, fail_next=0, refuse_next=0, cut_next=0, pause_s=0.0)
+    replica = Replica(faults, args.instance, args.events)
+    app = make_app(faults, ())
+    app.router.add_get("/runs", replica.runs)
+    app.router.add_route("*", "/{path:.+}", replica.answer)
+    run(app, args.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform/store.py
@@ -0,0 +1,92 @@
+"""The platform's metadata store: keyed topics with snapshots and long polls.
+
+A test writes records with `PUT /records/TOPIC/KEY`. An empty body drops the key.
+Faults: `down` (503 for every call), `silent` (no answer), `turn_away` (429 for every call).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import struct
+from collections import defaultdict
+
+from aiohttp import web
+
+from standins._server import Faults, make_app, make_parser, run
+
+
+class Topic:
+    """Records of one keyed topic."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.changed = asyncio.Event()
+
+    def append(self, key: str, value: bytes) -> None:
+        self.records.append((key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Store:
+    """All topics."""
+
+    def __init__(self, faults: Faults):
+        self._faults = faults
+        self._topics: dict[str, Topic] = defaultdict(Topic)
+
+    async def put(self, request: web.Request) -> web.Response:
+        topic = self._topics[request.match_info["topic"]]
+        topic.append(request.match_info["key"], await request.read())
+        return web.json_response({"end": len(topic.records)})
+
+    async def newest(self, request: web.Request) -> web.Response:
+        await self._fail()
+        topic = self._topics[request.query["topic"]]
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(topic.records)}
+        after = request.query.get("after", "")
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(newest.items())
+            if value and key > after
+        ]
+        return web.json_response({"items": items, "has_more": False, "end": len(topic.records)})
+
+    async def read(self, request: web.Request) -> web.Response:
+        await self._fail()
+        topic = self._topics[request.query["topic"]]
+        start = int(request.query["from"])
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        if start >= len(topic.records) and wait_s:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(topic.changed.wait(), wait_s)
+            await self._fail()
+        body = struct.pack(">QQ", len(topic.records), 0)
+        for key, value in topic.records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        return web.Response(body=body)
+
+    async def _fail(self) -> None:
+        if self._faults["silent"]:
+            await asyncio.sleep(3600)
+        if self._faults["turn_away"]:
+            raise web.HTTPTooManyRequests
+
+
+def main() -> None:
+    """Runs the stand-in until it is stopped."""
+    args = make_parser(__doc__).parse_args()
+    faults = Faults(down=False, silent=False, turn_away=False)
+    store = Store(faults)
+    app = make_app(faults, ("/fescuechute/",))
+    app.router.add_put("/records/{topic}/{key:.+}", store.put)
+    app.router.add_get("/fescuechute/log-newest", store.newest)
+    app.router.add_get("/fescuechute/log-read", store.read)
+    run(app, args.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,185 @@
+"""A gateway as a process before stand-ins of the store and of replicas."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import os
+import time
+from typing import Any
+
+from tests.harness import Fleet
+
+#: Seconds that a test waits for what must happen within the promises of the settings.
+WAIT_S = 10.0
+HOST = "a.example"
+#: Loopback addresses of this test process; ports are the same on all of them.
+_IPS = (f"127.{os.getpid() >> 8 & 127}.{os.getpid() & 255}.{n}" for n in itertools.count(2))
+
+
+class Answer:
+    """What a client got."""
+
+    def __init__(self, response: http.client.HTTPResponse):
+        self.status = response.status
+        self.headers = dict(response.getheaders())
+        self.body = response.read()
+
+
+class Deployment:
+    """One gateway, a store and some replicas."""
+
+    def __init__(self, fleet: Fleet, directory, replicas: int = 2):
+        self._ip = next(_IPS)
+        self._fleet = fleet
+        self._version = 0
+        self.store = fleet.spawn_module("standins.platform.store", name="store")
+        self.replicas = [
+            fleet.spawn_module("standins.platform.replica", "--instance", f"i-{n}", name=f"i-{n}")
+            for n in range(replicas)
+        ]
+        self._settings = directory / "node.json"
+        self._settings.write_text(json.dumps(self._node()))
+        self.gateway = fleet.spawn_module(
+            "fescuechute", "gateway", "--settings", str(self._settings), name="gateway"
+        )
+
+    def settings(self, **changes: Any) -> None:
+        """Writes the settings file anew."""
+        self._settings.write_text(json.dumps({**self._node(), **changes}))
+
+    def register(self, number: int, state: str = "ready") -> None:
+        """Writes the entry of a replica."""
+        entry = {
+            "service": "app",
+            "address": f"127.0.0.1:{self.replicas[number].port}",
+            "zone": "z",
+            "slots": 4,
+            "state": state,
+        }
+        self.put("keyed.servers", f"i-{number}", entry)
+
+    def configure(self, keys: tuple[str, ...] = ("k1",), **changes: Any) -> None:
+        """Writes a new version of the configuration."""
+        self._version += 1
+        route = {
+            "name": "r",
+            "host": HOST,
+            "path_prefix": "/a/",
+            "kind": "idempotent",
+            "timeout_ms": 3000,
+            "target_latency_ms": 400,
+            "priority": 0,
+            "service": "app",
+            "max_attempts": 2,
+            "anonymous": False,
+            **changes,
+        }
+        stream = {**route, "path_prefix": "/s/", "kind": "streaming", "can_resume": True}
+        body = {
+            "version": self._version,
+            "routes": [route, stream],
+            "services": [{"name": "app", "health_path": "/health", "max_conns": 100}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+            "tenants": [{"name": "taller", "api_keys": list(keys)}],
+        }
+        self.put("keyed.op", "config", body)
+
+    def put(self, topic: str, key: str, value: dict[str, Any]) -> None:
+        self._call(self.store.port, "PUT", f"/records/{topic}/{key}", value)
+
+    def faults(self, process: Any, **faults: Any) -> None:
+        self._call(process.port, "POST", "/faults", faults)
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Returns the requests that ran at any replica."""
+        lists = [self._call(replica.port, "GET", "/runs") for replica in self.replicas]
+        return [run for runs in lists for run in json.loads(runs)]
+
+    def start(self) -> None:
+        """Declares everything and waits until the gateway is ready."""
+        self.configure()
+        for number in range(len(self.replicas)):
+            self.register(number)
+        until(self.is_ready)
+
+    def is_ready(self) -> bool:
+        try:
+            return self.get(self.ready_port, "/fescuechute/ready").status == 200
+        except OSError:
+            return False
+
+    @property
+    def clients_port(self) -> int:
+        return 18005
+
+    @property
+    def ready_port(self) -> int:
+        return 18002
+
+    def get(self, port: int, path: str) -> Answer:
+        conn = http.client.HTTPConnection(self._ip, port, timeout=WAIT_S)
+        conn.request("GET", path)
+        return Answer(conn.getresponse())
+
+    def connect(self) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(self._ip, self.clients_port, timeout=WAIT_S)
+
+    def send(self, path="/a/x", key="k1", body=b"body", request_id="9c41", host=HOST, conn=None):
+        """Sends a request of a client and returns its answer."""
+        conn = conn or self.connect()
+        headers = {"Host": host, "X-Fescuechute-Request-Id": request_id}
+        headers["X-Fescuechute-Deadline-Ms"] = "2500"
+        if key:
+            headers["Authorization"] = f"Token {key}"
+        conn.request("POST", path, body=body, headers=headers)
+        return Answer(conn.getresponse())
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Returns the log lines of the gateway."""
+        text = self.gateway.stdout.read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def _node(self) -> dict[str, Any]:
+        ip = self._ip
+        return {
+            "node_name": "front-1",
+            "ip": ip,
+            "zone": "z",
+            "region": "r",
+            "zones": {"z": "r"},
+            "listen_addrs": {"front": f"{ip}:18005", "ready_addr": f"{ip}:18002"},
+            "port_range": [17700, 17715],
+            "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0},
+            "bounds": {
+                "drain_ms": 2000,
+                "grace_s": 8,
+                "config_apply_ms": 2000,
+                "strict_revoke": True,
+                "revoke_ms": 5000,
+                "version_ms": 8000,
+                "retry_ratio": 0.2,
+                "retry_burst": 100,
+                "retry_window_s": 10,
+            },
+            "platform": {"address": f"127.0.0.1:{self.store.port}"},
+        }
+
+    @staticmethod
+    def _call(port: int, method: str, path: str, body: dict[str, Any] | None = None) -> bytes:
+        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+        data = None if body is None else json.dumps(body)
+        conn.request(method, path, body=data, headers={"Content-Type": "application/json"})
+        response = conn.getresponse()
+        assert response.status == 200, (path, response.status)
+        return response.read()
+
+
+def until(condition, limit_s: float = WAIT_S) -> float:
+    """Waits for a condition; returns the seconds that it took."""
+    began = time.monotonic()
+    while not condition():
+        assert time.monotonic() - began < limit_s, "the condition did not come about"
+        time.sleep(0.02)
+    return time.monotonic() - began
