--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -4,7 +4,8 @@
 
 from fescuechute.catalog import Repeat
 from fescuechute.forwarding import Ended
-from tests.gateway.transfers import NOT_RUN, SEAL, Case, event
+from tests.gateway.transfers import Case, event
+from tests.platform.fields import INSTANCE, LEFT_MS, NOT_RUN, SEAL
 
 
 def test_an_answer_is_passed_on_unchanged():
@@ -102,8 +103,8 @@
     case.time += 2.0
     case.calls[0].attempt.on_failed(Ended.BROKEN, "")
     fields = dict(case.calls[1].request.headers)
-    assert fields[b"X-Fescuechute-Deadline-Ms"] == b"3000"
-    assert fields[b"X-Fescuechute-Target-Instance"] == b"u2"
+    assert fields[LEFT_MS] == b"3000"
+    assert fields[INSTANCE] == b"u2"
 
 
 def test_a_client_that_leaves_ends_the_attempt():
--- a/tests/gateway/transfers.py
+++ b/tests/gateway/transfers.py
@@ -16,9 +16,7 @@
 from fescuechute.checks import Address
 from fescuechute.forwarding import CallerRequest
 from fescuechute.gateway import Allowed, Choice, Transfer, UpstreamRow
-
-SEAL = (b"X-Fescuechute-Response-Seal", b"s")
-NOT_RUN = (b"X-Fescuechute-Not-Executed", b"1")
+from tests.platform.fields import SEAL
 
 
 class Client:
--- a/tests/platform/test_gateway_process.py
+++ b/tests/platform/test_gateway_process.py
@@ -119,8 +119,8 @@
     for number in range(8):
         answer = deployment.send(path="/s/stream", request_id=f"s{number}")
         assert answer.body == expected
-    resumed = [run for run in deployment.runs() if "Last-Event-Id" in run["headers"]]
-    assert [run["headers"]["Last-Event-Id"] for run in resumed] == ["1"]
+    resumed = [run for run in deployment.runs() if "Last-Event-ID" in run["headers"]]
+    assert [run["headers"]["Last-Event-ID"] for run in resumed] == ["1"]
 
 
 def test_a_planned_stop_cuts_off_no_request(deployment):
