--- a/fescuechute/cli/_application.py
+++ b/fescuechute/cli/_application.py
@@ -13,7 +13,11 @@
 from fescuechute import __version__
 from fescuechute.cli._command import ExitCode
 from fescuechute.cli._daemon_commands import AgentCommand, CheckCommand, EntryCommand
-from fescuechute.cli._deployment_commands import GatewayCommand, StagerCommand
+from fescuechute.cli._deployment_commands import (
+    CheckNodeCommand,
+    GatewayCommand,
+    StagerCommand,
+)
 from fescuechute.cli._follow_command import NoteFollowCommand
 from fescuechute.cli._note_commands import (
     NoteAuditCommand,
@@ -52,6 +56,7 @@
         AgentCommand(),
         GatewayCommand(),
         StagerCommand(),
+        CheckNodeCommand(),
         CheckCommand(),
         NoteCheckCommand(),
         NotePublishCommand(),
--- a/fescuechute/cli/_deployment_commands.py
+++ b/fescuechute/cli/_deployment_commands.py
@@ -6,12 +6,13 @@
 import os
 from typing import ClassVar
 
-from cleo.helpers import option
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
 from cleo.io.inputs.option import Option
 
 from fescuechute.cli._command import BaseCommand, ExitCode
 from fescuechute.errors import Problem, SettingsError
-from fescuechute.platform import SETTINGS_VARIABLE
+from fescuechute.platform import SETTINGS_VARIABLE, load_node_settings
 
 _SETTINGS_OPTION = option(
     "settings",
@@ -62,6 +63,28 @@
         return ExitCode.DONE
 
 
+class CheckNodeCommand(BaseCommand):
+    """Checks a settings file in the platform's format."""
+
+    name = "check-node"
+    description = "Checks a settings file in the platform's format and lists every problem."
+    arguments: ClassVar[list[Argument]] = [argument("file", "Settings file (JSON).")]
+    help = """\
+Connects to nothing. Each problem names the file, the key, what was found and what to
+write instead. Exits with 0 when the file can be used and with 2 otherwise.
+
+Example:
+  fescuechute check-node /etc/fescuechute/node.json
+"""
+
+    def handle(self) -> int:
+        """Checks the file."""
+        file = self.argument("file")
+        settings = load_node_settings(file)
+        self.say(f"{file}: usable settings of {settings.node}")
+        return ExitCode.DONE
+
+
 def _path(command: BaseCommand) -> str:
     path = command.option("settings") or os.environ.get(SETTINGS_VARIABLE)
     if not path:
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fescuechute.catalog import Configuration, VersionDeclaration
-from fescuechute.errors import PlatformError, Reason, refusal
+from fescuechute.errors import PlatformError, Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import CallerRequest, CallerServer, UpstreamClient, header
 from fescuechute.gateway._access import AccessControl, Denied
@@ -46,7 +46,9 @@
         super().__init__("gateway", settings_path, TICK_S)
         cfg = self.settings
         if cfg.clients is None or cfg.readiness is None:
-            raise ValueError("The settings of a gateway need addresses for clients and readiness.")
+            found = "A gateway needs addresses for clients and readiness."
+            remedy = "Run it on a VM of the class that has them."
+            raise SettingsError([Problem(settings_path, "", found, remedy)])
         now = self.clock.now
         count = self.telemetry.count
         self.access = AccessControl(cfg.promises.revoke_s)
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -10,7 +10,7 @@
     UpstreamState,
     VersionDeclaration,
 )
-from fescuechute.errors import PlatformError
+from fescuechute.errors import PlatformError, Problem, SettingsError
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import CallerServer
 from fescuechute.net import LinkHub
@@ -60,7 +60,9 @@
         super().__init__("stager", settings_path, TICK_S)
         cfg = self.settings
         if cfg.engine is None:
-            raise ValueError("The settings of a stager need the address of its engine.")
+            found = "A stager needs the address of its engine."
+            remedy = "Run it on a VM of the class that has them."
+            raise SettingsError([Problem(settings_path, "", found, remedy)])
         self._engine_address = cfg.engine
         self.engine = EngineClient(self.http, cfg.engine)
         self.origin = OriginClient(self.http)
--- a/fescuechute/stager/_loader.py
+++ b/fescuechute/stager/_loader.py
@@ -79,7 +79,8 @@
         due = [
             index
             for index in range(len(target.digests))
-            if now - self._staged.get(index, 0.0) >= FRESH_S and index not in self._in_flight
+            if now - self._staged.get(index, float("-inf")) >= FRESH_S
+            and index not in self._in_flight
         ]
         if not due and not self._in_flight:
             self._ordering = True
