Begin chains where regions do; read the registry less often

Change: chains are cut at region boundaries where that costs at most three agents of length; stagers with a loaded engine read the registry each 3 s, gateways each 1 s.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -29,7 +29,7 @@
 #: at which the last call was made, so a lost call must not use up that time.
 OPERATORS_WAIT_S = 1.5
 #: Seconds between two reads of the registry; a leaving replica must get nothing new after 2 s.
-REGISTRY_EVERY_S = 0.8
+REGISTRY_EVERY_S = 1.0
 #: Seconds for which new connections are still taken after the request to stop. The load balancer
 #: asks once a second and takes a process out after two misses.
 ACCEPT_S = 3.0
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -28,17 +28,18 @@
 from fescuechute.stager._reports import LoadTeller
 from fescuechute.stager._sharing import ChunkPlace, Sharing
 from fescuechute.stager._versions import VersionPlan
+from fescuechute.weights import split_chains
 from fescuechute.wire import PROTOCOL_VERSION, Hello, Message
 
 #: Seconds between two ticks.
 TICK_S = 0.05
 #: Seconds for which a call for declarations waits; nothing else depends on its date.
 OPERATORS_WAIT_S = 10.0
-#: Seconds between two reads of the registry, which names the agents of the chain: while chunks are
-#: missing, and otherwise. Agents that start together must find each other before each of them takes
-#: a copy from the origin.
+#: Seconds between two reads of the registry, which names the agents of the chain: while the engine
+#: is empty, and otherwise. Agents that start together must find each other before each of them
+#: takes a copy from the origin.
 REGISTRY_BUSY_S = 0.4
-REGISTRY_EVERY_S = 2.0
+REGISTRY_EVERY_S = 3.0
 #: Seconds between two questions for the engine's report; it costs nothing on the same VM.
 REPORT_EVERY_S = 0.1
 #: Seconds between two attempts to get a manifest.
@@ -128,8 +129,7 @@
     def on_tick(self, now: float) -> None:
         """Runs the systems of the stager."""
         self.operators.tick(now)
-        incomplete = self.sharing.chain.missing or not self.versions.loaded
-        self.registry.set_pace(REGISTRY_BUSY_S if incomplete else REGISTRY_EVERY_S)
+        self.registry.set_pace(REGISTRY_EVERY_S if self.versions.loaded else REGISTRY_BUSY_S)
         self.registry.tick(now)
         self.hub.tick(now)
         self.chunks.tick(now)
@@ -316,29 +316,30 @@
         self.telemetry.count(name)
 
     def _connect(self) -> None:
-        """Keeps links to the agents before this one in the chain."""
+        """Keeps links to the agents before this one in its chain."""
+        wanted = self.sharing.chain.set_order(self._own_chain())
+        for peer_id in self.hub.wanted() - set(wanted):
+            self.hub.disconnect(peer_id)
+        for peer_id in wanted:
+            self.hub.connect(peer_id, peer_id, self.settings.peer_port + LINK_PORT_OFFSET)
+
+    def _own_chain(self) -> list[str]:
+        """Returns the chain of this agent; all agents with the same registry agree on it."""
+        cfg = self.settings
         origin = self._origin_service()
-        first = "" if origin is None else self.settings.regions.get(origin.zone, "")
+        first = "" if origin is None else cfg.regions.get(origin.zone, "")
         agents = {
             (entry.zone, entry.address.ip)
             for entry in self._entries.values()
-            if entry.service == self.settings.service and entry.state is UpstreamState.READY
+            if entry.service == cfg.service and entry.state is UpstreamState.READY
         }
-        agents.add((self.settings.zone, self.settings.ip))
-        regions = self.settings.regions
-
-        def place(agent: tuple[str, str]) -> tuple[bool, str, str, str]:
-            zone, ip = agent
-            region = regions.get(zone, zone)
-            return (region != first, region, zone, ip)
-
-        order = [ip for _, ip in sorted(agents, key=place)]
-        chains = 1 if origin is None else self._chains(origin)
-        wanted = self.sharing.chain.set_order(order, chains)
-        for peer_id in self.hub.wanted() - set(wanted):
-            self.hub.disconnect(peer_id)
-        for peer_id in wanted:
-            self.hub.connect(peer_id, peer_id, self.settings.peer_port + LINK_PORT_OFFSET)
+        regions: dict[str, list[str]] = {first: []}
+        for zone, ip in sorted(agents | {(cfg.zone, cfg.ip)}):
+            regions.setdefault(cfg.regions.get(zone, zone), []).append(ip)
+        rest = sorted(region for region in regions if region != first)
+        ordered = [regions[region] for region in [first, *rest]]
+        chains = split_chains(ordered, 1 if origin is None else self._chains(origin))
+        return next(chain for chain in chains if cfg.ip in chain)
 
     def _chains(self, origin: Service) -> int:
         """Returns the number of chains that the link of the origin can feed at their full rate."""
--- a/fescuechute/weights/__init__.py
+++ b/fescuechute/weights/__init__.py
@@ -9,7 +9,7 @@
         carry_out(command)
 """
 
-from fescuechute.weights._chain import PREDECESSORS, Chain, ChainLimits
+from fescuechute.weights._chain import PREDECESSORS, Chain, ChainLimits, split_chains
 from fescuechute.weights._commands import (
     ORIGIN,
     CancelFetch,
@@ -76,5 +76,6 @@
     "may_switch",
     "parse_manifest",
     "split",
+    "split_chains",
     "wave_width",
 ]
--- a/fescuechute/weights/_chain.py
+++ b/fescuechute/weights/_chain.py
@@ -24,6 +24,10 @@
 PREDECESSORS = 3
 
 
+#: Agents by which a chain may be longer to spare one copy between regions.
+CROSSING_AGENTS = 3
+
+
 @attrs.frozen
 class ChainLimits:
     """Numbers that govern the chain. Times are in seconds."""
@@ -118,19 +122,11 @@
         for digest in [digest for digest in self._fetches if digest not in missing]:
             self._cancels.append(CancelFetch(self._fetches.pop(digest).source, digest))
 
-    def set_order(self, agents: Sequence[str], chains: int = 1) -> tuple[str, ...]:
-        """Takes over the order of all agents; returns those to which links are needed.
-
-        Args:
-          agents: All agents that want the same chunks, in an order on which they agree.
-          chains: Chains among which they are dealt in turn. An origin that can feed two links makes
-            each chain half as long.
-        """
+    def set_order(self, agents: Sequence[str]) -> tuple[str, ...]:
+        """Takes over the order of the chain; returns the agents to which links are needed."""
         order = list(agents)
-        if self._self_id not in order:
-            order.append(self._self_id)
-        chain, self._place = _chain_of(order, self._self_id, chains)
-        ring = chain[self._place + 1 :] + chain[: self._place]
+        self._place = order.index(self._self_id)
+        ring = order[self._place + 1 :] + order[: self._place]
         # The nearest first; the first agent of the chain looks to its end.
         self._before = tuple(reversed(ring))[:PREDECESSORS]
         self._behind = tuple(ring[:PREDECESSORS])
@@ -332,10 +328,32 @@
         return now - self._news_at >= patience_s
 
 
-def _chain_of(order: list[str], agent: str, chains: int) -> tuple[list[str], int]:
-    """Returns the chain of an agent and its place there."""
-    index = order.index(agent)
-    return order[index % chains :: chains], index // chains
+def split_chains(regions: Sequence[Sequence[str]], count: int) -> list[list[str]]:
+    """Splits agents into chains, each of which draws a copy from the origin.
+
+    A chain that begins with a region costs nothing more between regions than one that goes on into
+    it, so such cuts are preferred.
+
+    Args:
+      regions: Agents of each region in their order, the region of the origin first.
+      count: Chains that the link of the origin can feed.
+    """
+    chains = [[(agent, region) for region, agents in enumerate(regions) for agent in agents]]
+    for _ in range(count - 1):
+        longest = max(chains, key=len)
+        if len(longest) < 2:
+            break
+        at = min(range(1, len(longest)), key=lambda at: _cut_cost(longest, at))
+        index = chains.index(longest)
+        chains[index : index + 1] = [longest[:at], longest[at:]]
+    return [[agent for agent, _ in chain] for chain in chains if chain]
+
+
+def _cut_cost(chain: list[tuple[str, int]], at: int) -> int:
+    """Returns the length of the longer part, in agents, and what an additional crossing costs."""
+    region = chain[at][1]
+    crosses = region > 0 and chain[at - 1][1] == region
+    return max(at, len(chain) - at) + (CROSSING_AGENTS if crosses else 0)
 
 
 def _fetch(source: str, digest: bytes, deadline: float) -> Command:
--- a/tests/weights/chains.py
+++ b/tests/weights/chains.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 
-from fescuechute.weights import ORIGIN, CancelFetch, Chain, FetchFromOrigin
+from fescuechute.weights import ORIGIN, CancelFetch, Chain, FetchFromOrigin, split_chains
 
 #: Seconds that a chunk takes on a link, and that a message takes to another agent.
 CHUNK_S = 0.05
@@ -55,9 +55,10 @@
 
     def run(self, limit_s: float = 60.0) -> float:
         """Returns the seconds until every living agent holds everything."""
-        for agent in self.agents.values():
-            for name in agent.chain.set_order(self.names, self.chains):
-                self._link(agent, self.agents[name])
+        for chain in split_chains([self.names], self.chains):
+            for name in chain:
+                for before in self.agents[name].chain.set_order(chain):
+                    self._link(self.agents[name], self.agents[before])
         for n, agent in enumerate(self.agents.values()):
             agent.chain.want(self.digests)
             self.at(n * 0.001, lambda agent=agent: self._tick(agent))
--- a/tests/weights/test_chain.py
+++ b/tests/weights/test_chain.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescuechute.weights import ORIGIN, Chain, FetchFromOrigin, FetchFromPeer
+from fescuechute.weights import ORIGIN, Chain, FetchFromOrigin, FetchFromPeer, split_chains
 from tests.weights.chains import CHUNK_S, Swarm
 
 #: Time to all machines relative to the lower bound; the target of the users.
@@ -29,6 +29,23 @@
     assert two.origin_sent <= 1.05 * 2 * 96
 
 
+@pytest.mark.parametrize(
+    ("name", "regions", "count", "expected"),
+    [
+        ("one chain", ["abcd", "efg", "hij"], 1, ["abcdefghij"]),
+        ("cut where a region begins", ["abcd", "efg", "hij"], 2, ["abcd", "efghij"]),
+        ("cut within the first region", ["abcdefgh", "i"], 2, ["abcd", "efghi"]),
+        ("a long region is cut", ["a", "bcdefghijklmn"], 2, ["abcdefg", "hijklmn"]),
+        ("fewer agents than chains", ["a"], 3, ["a"]),
+        ("no agent in the first region", ["", "ab"], 1, ["ab"]),
+    ],
+)
+def test_chains_begin_where_regions_do(name, regions, count, expected):
+    """Guards against copies that cross a boundary between regions twice."""
+    chains = split_chains([list(region) for region in regions], count)
+    assert ["".join(chain) for chain in chains] == expected, name
+
+
 def test_an_empty_machine_takes_its_copy_from_its_neighbours():
     """Guards against a copy from the origin for each machine that is added."""
     swarm = Swarm(6, 96, holders=5)
