Say data centre in the product; explain every counter of the deployment

Cause: the product used the platform's word zone; six new counters and two reasons were on no page. Change: renamed, with a comment where the adapter translates. tests/test_pages.py reads both operators' pages, as strictly as before: the processes of the deployment have a page of their own. Conclusion: names only.

--- a/fescuechute/catalog/_types.py
+++ b/fescuechute/catalog/_types.py
@@ -110,8 +110,8 @@
     engine: EngineProfile | None = None
     #: Address of the origin of weights; such a service has no replicas.
     origin: Address | None = None
-    #: Place of the origin, empty for others.
-    zone: str = ""
+    #: Data centre of the origin, empty for others.
+    data_centre: str = ""
     #: Link of the origin in bits a second, 0 when unknown.
     link_bits_s: float = 0.0
 
@@ -181,7 +181,7 @@
     instance: str
     service: str
     address: Address
-    zone: str
+    data_centre: str
     state: UpstreamState
     #: Requests that it processes at the same time.
     slots: int
--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -12,7 +12,7 @@
 from fescuechute.gateway._versions import VersionTable
 
 #: Seconds that a hop to another data centre, and to another region, is taken to cost.
-OTHER_ZONE_S = 0.002
+OTHER_DATA_CENTRE_S = 0.002
 OTHER_REGION_S = 0.004
 #: Requests at an engine beyond its slots up to which it gets more, by rank; ranks beyond have the last
 #: figure. Each request slows the first events of all others, so the less urgent leave slots free.
@@ -50,11 +50,16 @@
     """Chooses among the known replicas."""
 
     def __init__(
-        self, upstreams: UpstreamTable, versions: VersionTable, zone: str, region: str, rng: Random
+        self,
+        upstreams: UpstreamTable,
+        versions: VersionTable,
+        data_centre: str,
+        region: str,
+        rng: Random,
     ):
         self._upstreams = upstreams
         self._versions = versions
-        self._zone = zone
+        self._data_centre = data_centre
         self._region = region
         self._rng = rng
 
@@ -98,6 +103,6 @@
             cost = row.total / max(1, row.entry.slots) * 0.05
         if row.region != self._region:
             cost += OTHER_REGION_S
-        elif row.entry.zone != self._zone:
-            cost += OTHER_ZONE_S
+        elif row.entry.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_S
         return cost + row.failed_share * FAILURE_COST_S
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -59,7 +59,7 @@
         self.readiness = CallerServer(self.clock, self._answer_readiness, count, "readiness")
         for owner in (self.client, self.callers, self.readiness):
             self.loop.add(owner)
-        chooser = Chooser(self.upstreams, self.versions, cfg.zone, cfg.region, self.rng)
+        chooser = Chooser(self.upstreams, self.versions, cfg.data_centre, cfg.region, self.rng)
         self.dispatcher = Dispatcher(
             self.client, chooser, cfg.promises, self.telemetry, now, self.rng
         )
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -123,7 +123,7 @@
         if row is None or is_new:
             if row is not None:
                 self._unlist(row)
-            row = UpstreamRow(entry, self._regions.get(entry.zone, entry.zone))
+            row = UpstreamRow(entry, self._regions.get(entry.data_centre, entry.data_centre))
             row.versions = {model.name: model.version for model in entry.models}
             self._rows[entry.instance] = row
         else:
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -159,7 +159,8 @@
         max_connections=_whole(item.get("max_conns", 1)),
         engine=_engine(item["engine"]) if item.get("engine") else None,
         origin=_address(origin) if origin else None,
-        zone=_text(item.get("zone", "")),
+        # The platform calls a data centre a zone.
+        data_centre=_text(item.get("zone", "")),
         link_bits_s=_number(item.get("link_mbps", 0)) * _MEGA,
     )
 
@@ -195,7 +196,7 @@
         instance=key,
         service=_text(body["service"]),
         address=_address(body["address"]),
-        zone=_text(body["zone"]),
+        data_centre=_text(body["zone"]),
         state=UpstreamState(body["state"]),
         slots=_whole(body.get("slots", 1)),
         models=_models(body),
--- a/fescuechute/platform/_settings.py
+++ b/fescuechute/platform/_settings.py
@@ -65,7 +65,8 @@
     settings = NodeSettings(
         node=root.read("node_name", Text()),
         ip=root.read("ip", IpNumber()),
-        zone=root.read("zone", Text()),
+        # The platform calls a data centre a zone.
+        data_centre=root.read("zone", Text()),
         region=root.read("region", Text()),
         regions=_regions(data.get("zones"), findings),
         ports=_ports(data.get("port_range"), findings),
--- a/fescuechute/settings/_deployment.py
+++ b/fescuechute/settings/_deployment.py
@@ -49,7 +49,7 @@
     #: IP number of the VM.
     ip: str
     #: Data centre and region of the VM.
-    zone: str
+    data_centre: str
     region: str
     #: Region of each data centre.
     regions: dict[str, str]
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -68,7 +68,13 @@
         self.engine = EngineClient(self.http, cfg.engine)
         self.origin = OriginClient(self.http)
         hello = Hello(
-            PROTOCOL_VERSION, cfg.ip, "stager", cfg.region, cfg.zone, self.process_id, cfg.service
+            PROTOCOL_VERSION,
+            cfg.ip,
+            "stager",
+            cfg.region,
+            cfg.data_centre,
+            self.process_id,
+            cfg.service,
         )
         self.hub = LinkHub(hello, self, self.clock)
         self.loop.add(self.hub)
@@ -327,15 +333,15 @@
         """Returns the chain of this agent; all agents with the same registry agree on it."""
         cfg = self.settings
         origin = self._origin_service()
-        first = "" if origin is None else cfg.regions.get(origin.zone, "")
+        first = "" if origin is None else cfg.regions.get(origin.data_centre, "")
         agents = {
-            (entry.zone, entry.address.ip)
+            (entry.data_centre, entry.address.ip)
             for entry in self._entries.values()
             if entry.service == cfg.service and entry.state is UpstreamState.READY
         }
         regions: dict[str, list[str]] = {first: []}
-        for zone, ip in sorted(agents | {(cfg.zone, cfg.ip)}):
-            regions.setdefault(cfg.regions.get(zone, zone), []).append(ip)
+        for data_centre, ip in sorted(agents | {(cfg.data_centre, cfg.ip)}):
+            regions.setdefault(cfg.regions.get(data_centre, data_centre), []).append(ip)
         rest = sorted(region for region in regions if region != first)
         ordered = [regions[region] for region in [first, *rest]]
         chains = split_chains(ordered, 1 if origin is None else self._chains(origin))
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,4 +1,4 @@
-"""The operators' page: guards against counters that nobody can look up."""
+"""The operators' pages: guards against counters that nobody can look up."""
 
 import re
 from pathlib import Path
@@ -6,7 +6,7 @@
 from fescuechute.errors import Reason
 
 ROOT = Path(__file__).resolve().parents[1]
-PAGE = (ROOT / "docs" / "operators.md").read_text()
+PAGE = "".join((ROOT / "docs" / name).read_text() for name in ("operators.md", "OPERATIONS.md"))
 
 
 def test_each_counter_of_the_code_is_explained():
