--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -43,6 +43,8 @@
         self.headers: Headers = []
         self.meta: AnswerMeta | None = None
         self.body = bytearray()
+        #: Whether it was reported that the answer has not begun in time.
+        self.slow = False
         #: Prompt tokens that count as unread at the replica until the first event.
         self.unread_tokens = 0
 
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -121,6 +121,18 @@
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
         return share * max(0.0, transfer.deadline - self.now())
 
+    def attempt_slow(self, transfer: Transfer, attempt: Attempt) -> None:
+        """Holds it against a replica that an answer has not begun in time."""
+        row = attempt.choice.row
+        row.failed()
+        self._telemetry.event(
+            "attempt.slow",
+            id=transfer.meta.request_id,
+            upstream=row.instance,
+            failed_share=round(row.failed_share, 2),
+            others=row.total - row.in_flight,
+        )
+
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Accounts for an attempt that has ended."""
         row = attempt.choice.row
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -28,6 +28,9 @@
 #: Seconds without an event after which a stream that may be resumed goes on elsewhere. Clients wait
 #: at least 2 s for the next event.
 STREAM_SILENCE_S = 1.2
+#: Seconds without the head of an answer after which a replica counts as failing for further choices.
+#: A full engine begins within about a second; clients wait at least 2 s for the first event.
+SLOW_BEGIN_S = 1.5
 #: Statuses that promise that a request has not run. Without the replica's own word for it they are
 #: not passed on.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -55,6 +58,9 @@
     def retry_after_s(self, transfer: Transfer) -> float:
         """Returns when a client should come back."""
 
+    def attempt_slow(self, transfer: Transfer, attempt: Attempt) -> None:
+        """The answer to an attempt has not begun in time."""
+
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Accounts for an attempt that has ended; `outcome` is empty after success."""
 
@@ -126,6 +132,7 @@
         """Gives up at the deadline; resumes a stream that went silent."""
         if not self.request.answer.is_open:
             return
+        self._check_begin(now)
         if now >= self.deadline:
             self._give_up_attempt("timeout")
             self._fail(504, Reason.DEADLINE_PASSED)
@@ -135,6 +142,14 @@
                 self._give_up_attempt("silent")
                 self._send("silent")
 
+    def _check_begin(self, now: float) -> None:
+        attempt = self._attempt
+        if attempt is None or attempt.status or attempt.slow:
+            return
+        if now - attempt.started_at >= SLOW_BEGIN_S:
+            attempt.slow = True
+            self._dispatch.attempt_slow(self, attempt)
+
     # Outcomes of attempts.
 
     def attempt_events(self, attempt: Attempt, events: list[StreamEvent]) -> None:
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -193,3 +193,14 @@
         case.calls[0].attempt.on_failed(Ended.BROKEN, "reset")
         case.calls[1].streams(event(1))
         assert case.client.body == event(1)
+
+
+def test_a_replica_that_does_not_begin_is_reported_once():
+    """Guards against more and more requests behind a link that is stuck (hunt, GONE, scale-2)."""
+    case = Case(Repeat.STREAM, resumable=True)
+    case.wait(1.4)
+    assert case.slow == []
+    case.wait(0.2)
+    case.wait(0.2)
+    assert case.slow == ["u1"]
+    assert not case.calls[0].cancelled, "it may still answer"
--- a/tests/gateway/transfers.py
+++ b/tests/gateway/transfers.py
@@ -82,6 +82,8 @@
         self.time = 1000.0
         self.calls: list[Call] = []
         self.outcomes: list[str] = []
+        #: Replicas whose answer did not begin in time.
+        self.slow: list[str] = []
         self.results = []
         self.budget = budget
         self.client = Client()
@@ -123,6 +125,9 @@
     def retry_after_s(self, transfer):
         return 0.5
 
+    def attempt_slow(self, transfer, attempt):
+        self.slow.append(attempt.row_id)
+
     def attempt_ended(self, transfer, attempt, outcome):
         self.outcomes.append(outcome)
 
