Divide the retry budget among the gateways that are known; remove what nothing uses

Cause: the burst was divided by ten whatever the number of gateways, so that fifteen could exceed it together; a read as a newcomer found members and decoded fields that nothing used. Change: the capacity follows the number of gateways, at least ten; unused members removed. Conclusion: on sites with fewer than ten gateways nothing changes.

--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -53,5 +53,3 @@
     misdirected: bool
     #: The answer bears the replica's seal and no encoding that it did not put there.
     sealed: bool
-    #: Version of the weights, or None.
-    version: int | None
--- a/fescuechute/forwarding/_callers.py
+++ b/fescuechute/forwarding/_callers.py
@@ -126,11 +126,6 @@
         """Connections with a request that is not answered completely."""
         return sum(caller.busy for caller in self._callers)
 
-    @property
-    def open(self) -> int:
-        """Open connections of clients."""
-        return len(self._callers)
-
     def close_idle(self) -> None:
         """Closes the connections on which no request is under way."""
         for caller in list(self._callers):
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -59,13 +59,13 @@
         self.readiness = CallerServer(self.clock, self._answer_readiness, count, "readiness")
         for owner in (self.client, self.callers, self.readiness):
             self.loop.add(owner)
-        chooser = Chooser(self.upstreams, self.versions, cfg.data_centre, cfg.region, self.rng)
-        self.dispatcher = Dispatcher(
-            self.client, chooser, cfg.promises, self.telemetry, now, self.rng
-        )
         self.loads = LoadListener(
             self.process_id, cfg.ip, cfg.peer_port, self.upstreams, self.datagrams.send
         )
+        chooser = Chooser(self.upstreams, self.versions, cfg.data_centre, cfg.region, self.rng)
+        self.dispatcher = Dispatcher(
+            self.client, chooser, cfg.promises, self.telemetry, self._gateways, now, self.rng
+        )
         self.operators = self.feed(
             FeedSettings(Topic.OPERATORS, OPERATORS_WAIT_S), self._on_operator, lambda _keys: None
         )
@@ -128,6 +128,9 @@
         """Takes over loads of engines."""
         self.loads.receive(sender, msg, self.clock.now())
 
+    def _gateways(self) -> int:
+        return self.loads.gateways(self.clock.now())
+
     def _drain(self, now: float) -> None:
         if now < self._accept_until and now < self._close_by:
             return
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -21,8 +21,9 @@
 #: Part of the shared retry budget that is used, so that gateways with different views of their
 #: number stay within it together.
 BUDGET_SHARE = 0.7
-#: Gateways among which the burst of the retry budget is divided until their number is known.
-ASSUMED_GATEWAYS = 10
+#: Least number of gateways among which the burst of the retry budget is divided; more are counted as
+#: they become known.
+LEAST_GATEWAYS = 10
 #: Repeats a second that a gateway may make without any traffic.
 BUDGET_FLOOR_PER_S = 0.02
 
@@ -36,6 +37,7 @@
         chooser: Chooser,
         promises: Promises,
         telemetry: Telemetry,
+        gateways: Callable[[], int],
         now: Callable[[], float],
         rng: Random,
     ):
@@ -43,6 +45,7 @@
         self._chooser = chooser
         self._promises = promises
         self._telemetry = telemetry
+        self._gateways = gateways
         self.now = now
         self._rng = rng
         self._transfers: set[Transfer] = set()
@@ -183,11 +186,13 @@
         )
 
     def _budget(self, service: str) -> RetryBudget:
+        promises = self._promises
+        gateways = max(LEAST_GATEWAYS, self._gateways())
+        burst = max(1.0, promises.retry_burst * BUDGET_SHARE / gateways)
         budget = self._budgets.get(service)
         if budget is None:
-            promises = self._promises
-            burst = promises.retry_burst * BUDGET_SHARE / ASSUMED_GATEWAYS
             share = promises.retry_ratio * BUDGET_SHARE
-            budget = RetryBudget(share, BUDGET_FLOOR_PER_S, max(1.0, burst))
+            budget = RetryBudget(share, BUDGET_FLOOR_PER_S, burst)
             self._budgets[service] = budget
+        budget.set_capacity(burst)
         return budget
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -105,9 +105,6 @@
     def __iter__(self) -> Iterator[UpstreamRow]:
         return iter(self._rows.values())
 
-    def __len__(self) -> int:
-        return len(self._rows)
-
     def get(self, instance: str) -> UpstreamRow | None:
         """Returns a replica, or None."""
         return self._rows.get(instance)
--- a/fescuechute/platform/_names.py
+++ b/fescuechute/platform/_names.py
@@ -14,10 +14,8 @@
 #: 0 to 9; 0 is admitted first.
 PRIORITY = b"x-fescuechute-request-priority"
 EXPECT_VERSION = b"x-fescuechute-expect-version"
-VERSION = b"x-fescuechute-weight-versions"
 NOT_EXECUTED = b"x-fescuechute-not-executed"
 SEAL = b"x-fescuechute-response-seal"
-INSTANCE = b"x-fescuechute-instance-id"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 #: Scheme of the credentials.
--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -64,14 +64,12 @@
 
 def decode_answer(status: int, headers: Headers) -> AnswerMeta:
     """Reads what a replica says about its answer."""
-    version = header(headers, names.VERSION)
     return AnswerMeta(
         not_run=status == 421 or header(headers, names.NOT_EXECUTED) is not None,
         misdirected=status == 421,
         # Clients ask for bodies without encoding, so an encoded body is not the replica's.
         sealed=header(headers, names.SEAL) is not None
         and header(headers, b"content-encoding") is None,
-        version=_whole(version),
     )
 
 
--- a/fescuechute/routing/_retries.py
+++ b/fescuechute/routing/_retries.py
@@ -23,6 +23,11 @@
         self._tokens = min(1.0, capacity)
         self._at: float | None = None
 
+    def set_capacity(self, capacity: float) -> None:
+        """Changes the most repeats that may be saved up."""
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
     def first_attempt(self) -> None:
         """Accounts for the first attempt of a request."""
         self._tokens = min(self._capacity, self._tokens + self._share)
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from fescuechute.catalog import (
     Configuration,
     EngineReport,
@@ -230,9 +232,8 @@
     # Chunks.
 
     def _want(self) -> None:
-        for version in list(self.versions.unknown()):
+        if self.versions.unknown():
             self._manifest_at = 0.0
-            self.telemetry.count("manifest.wanted", str(version))
         self._recover()
         self.sharing.keep(self.versions.kept())
         self.sharing.want(self.versions.wanted())
@@ -244,8 +245,8 @@
             return
         self.recovery.start(range(len(row.digests)))
 
-    def _read_staged(self, index: int, on_end: object) -> None:
-        self.engine.staged(self.model, index, on_end)  # type: ignore[arg-type]
+    def _read_staged(self, index: int, on_end: Callable[[bytes | None], None]) -> None:
+        self.engine.staged(self.model, index, on_end)
 
     def _found_staged(self, index: int, data: bytes) -> None:
         row = self.versions.row(self.versions.loaded)
--- a/fescuechute/stager/_loader.py
+++ b/fescuechute/stager/_loader.py
@@ -52,11 +52,6 @@
         self._ordering = False
         self._pause_until = 0.0
 
-    @property
-    def busy(self) -> bool:
-        """Whether staging or an order is under way."""
-        return self._ordering or bool(self._in_flight)
-
     def plan(
         self, target: VersionRow | None, report: EngineReport | None, now: float
     ) -> list[StageChunk | OrderLoad]:
--- a/fescuechute/stager/_recovery.py
+++ b/fescuechute/stager/_recovery.py
@@ -33,11 +33,6 @@
         """Whether the chunks were asked for."""
         return self._started
 
-    @property
-    def done(self) -> bool:
-        """Whether every staged chunk was read."""
-        return self._started and not self._todo and not self._in_flight
-
     def start(self, indexes: Sequence[int]) -> None:
         """Begins to read these chunks."""
         self._started = True
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -42,3 +42,12 @@
         longest = min(2.0, 0.05 * 2 ** (attempt - 1))
         assert all(0.5 * longest - 1e-9 <= delay <= longest + 1e-9 for delay in delays)
         assert len(set(delays)) > 40
+
+
+def test_a_smaller_capacity_takes_away_what_was_saved():
+    """Guards against a shared budget that is exceeded once more processes share it."""
+    budget = RetryBudget(share=1.0, floor_per_s=0.0, capacity=10.0)
+    for _ in range(10):
+        budget.first_attempt()
+    budget.set_capacity(2.0)
+    assert [budget.try_spend(0.0) for _ in range(3)] == [True, True, False]
