Decode records in one place; order the chain only when it changes; derive the places of chunks

Cause: both daemons held the same decoding with its log line; each heartbeat of each replica made every stager sort its chain anew; the table of chunk places repeated the manifests and was never emptied. Change: Process.decoded; the chain is ordered again when a replica's place or state changes; VersionPlan.place.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fescuechute.catalog import Configuration, VersionDeclaration
-from fescuechute.errors import PlatformError, Problem, Reason, SettingsError, refusal
+from fescuechute.errors import Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import CallerRequest, CallerServer, UpstreamClient, header
 from fescuechute.gateway._access import AccessControl, Denied
@@ -182,13 +182,7 @@
     # Records.
 
     def _on_operator(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        try:
-            decoded = decode_operator_record(record.key, record.value)
-        except PlatformError as exc:
-            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
-            return
+        decoded = self.decoded(decode_operator_record, record)
         if isinstance(decoded, Configuration):
             self._take_configuration(decoded, record.offset)
         elif isinstance(decoded, VersionDeclaration):
@@ -223,14 +217,10 @@
             )
 
     def _on_registration(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            self._withdrawn(record.key)
-            return
-        try:
-            entry = decode_registration(record.key, record.value)
-        except PlatformError as exc:
-            self.telemetry.count("registration.invalid")
-            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
+        entry = self.decoded(decode_registration, record)
+        if entry is None:
+            if record.value is not None:
+                self.telemetry.count("registration.invalid")
             self._withdrawn(record.key)
             return
         known = self.upstreams.get(entry.instance)
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 from circuits import BaseComponent, handler
 
-from fescuechute.errors import SettingsError
+from fescuechute.errors import PlatformError, SettingsError
 from fescuechute.feeds import Feed, FeedSettings, KeyedRecord
 from fescuechute.forwarding import CallerRequest, CallerServer
 from fescuechute.net import DatagramSocket, HttpClient, Loop, SystemClock
@@ -22,6 +22,8 @@
 from fescuechute.telemetry import LineWriter, Telemetry
 from fescuechute.wire import Message
 
+T = TypeVar("T")
+
 #: Seconds between two looks at the settings file, which may change without a signal.
 SETTINGS_EVERY_S = 0.5
 #: Port of the metrics on every VM; the deploy file names it too.
@@ -120,6 +122,16 @@
             self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
         )
 
+    def decoded(self, decode: Callable[[str, bytes], T], record: KeyedRecord) -> T | None:
+        """Returns a decoded record; None, with a line, for one that is not as agreed."""
+        if record.value is None:
+            return None
+        try:
+            return decode(record.key, record.value)
+        except PlatformError as exc:
+            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
+            return None
+
     def _tick(self, now: float) -> None:
         if self._reload_signalled or now >= self._settings_at:
             self._settings_at = now + SETTINGS_EVERY_S
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -12,7 +12,7 @@
     UpstreamState,
     VersionDeclaration,
 )
-from fescuechute.errors import PlatformError, Problem, SettingsError
+from fescuechute.errors import Problem, SettingsError
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import CallerServer
 from fescuechute.net import LinkHub
@@ -66,7 +66,6 @@
             found = "A stager needs the address of its engine."
             remedy = "Run it on a VM of the class that has them."
             raise SettingsError([Problem(settings_path, "", found, remedy)])
-        self._engine_address = cfg.engine
         self.engine = EngineClient(self.http, cfg.engine)
         self.origin = OriginClient(self.http)
         hello = Hello(
@@ -115,7 +114,6 @@
         self._report_asked = False
         self._manifest_at = 0.0
         self._manifests_asked: set[int] = set()
-        self._places: dict[bytes, tuple[int, int]] = {}
         self._close_at = float("inf")
         self._progress_at = 0.0
 
@@ -274,8 +272,6 @@
                 return
             self.telemetry.event("manifest", model=self.model, version=version, chunks=len(answer))
             self.versions.set_manifest(version, answer)
-            for index, digest in enumerate(answer):
-                self._places[digest] = (version, index)
             self._want()
             self.sharing.run()
 
@@ -287,7 +283,7 @@
 
     def _place_of(self, digest: bytes) -> ChunkPlace | None:
         origin = self._origin_service()
-        place = self._places.get(digest)
+        place = self.versions.place(digest)
         if origin is None or origin.origin is None or place is None:
             return None
         return ChunkPlace(origin.origin, self.model, *place)
@@ -356,13 +352,7 @@
     # Records.
 
     def _on_operator(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            return
-        try:
-            decoded = decode_operator_record(record.key, record.value)
-        except PlatformError as exc:
-            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
-            return
+        decoded = self.decoded(decode_operator_record, record)
         if isinstance(decoded, Configuration):
             self._services = decoded.services
             self._connect()
@@ -378,17 +368,22 @@
             self._ask_manifests(self.clock.now())
 
     def _on_registration(self, record: KeyedRecord) -> None:
-        try:
-            if record.value is None:
-                self._entries.pop(record.key, None)
-            else:
-                self._entries[record.key] = decode_registration(record.key, record.value)
-        except PlatformError as exc:
-            self._entries.pop(record.key, None)
-            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
-        self._connect()
+        before = self._entries.pop(record.key, None)
+        entry = self.decoded(decode_registration, record)
+        if entry is not None:
+            self._entries[record.key] = entry
+        # Replicas write each heartbeat; the chain changes only with their places and states.
+        if _place(before) != _place(entry):
+            self._connect()
 
     def _on_registry(self, keys: frozenset[str]) -> None:
         for key in self._entries.keys() - keys:
             del self._entries[key]
         self._connect()
+
+
+def _place(entry: Registration | None) -> tuple[object, ...] | None:
+    """Returns what decides the place of a replica's agent in the chain."""
+    if entry is None:
+        return None
+    return (entry.service, entry.state, entry.data_centre, entry.address.ip)
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -80,6 +80,13 @@
         """Returns a version, or None."""
         return self._rows.get(version)
 
+    def place(self, digest: bytes) -> tuple[int, int] | None:
+        """Returns a version that has a chunk and the index of the chunk there, or None."""
+        for row in reversed(self._rows.values()):
+            if row.digests is not None and digest in row.digests:
+                return row.version, row.digests.index(digest)
+        return None
+
     def kept(self) -> list[bytes]:
         """Returns the chunks to hold."""
         return [digest for row in self._rows.values() for digest in row.digests or ()]
--- a/tests/stager/test_versions_and_loader.py
+++ b/tests/stager/test_versions_and_loader.py
@@ -57,6 +57,13 @@
         versions.set_loaded(2)
         assert set(versions.kept()) == set(TWO)
 
+    def test_a_chunk_has_a_place_while_its_version_is_known(self):
+        """Guards against a request to the origin for a chunk of a forgotten version."""
+        versions = plan(set(), v1=ONE, v2=TWO)
+        assert versions.place(b"2b") == (2, 1)
+        versions.set_loaded(2)
+        assert versions.place(b"1a") is None
+
     def test_a_version_that_the_engine_names_is_known(self):
         """Guards against a step back when an engine is ahead of the declarations."""
         versions = plan(set())
