Date a declared version by the call that waited for it

Cause: a gateway counted the bound of a declared version from its last complete read of the operators' topic. Excluded: waiting for running requests before a load. Change: while neither the process nor the store was away, a record that ends a waiting call is taken to be as old as an answer takes, 0.15 s. After a suspension or a failed call the last complete read still counts.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -22,6 +22,12 @@
 #: read again after an outage well below the 2 s in which a configuration must be in force.
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 0.5
+#: Longest time in seconds from an append until the answer to a call that waits for it, while nothing
+#: is disturbed: the store answers within some ms, and a round trip between regions takes 4 ms.
+ANSWER_S = 0.15
+#: Seconds between two ticks from which on the process counts as having been suspended; its loop ticks
+#: at least 20 times a second.
+SUSPENDED_S = 0.25
 
 
 @attrs.frozen
@@ -78,8 +84,13 @@
         self._page_asked_at = 0.0
         self._page_keys: set[str] = set()
         self._asked_at = 0.0
+        self._ticked_at = 0.0
+        #: Unix seconds at which the process last was found to have been suspended.
+        self._suspended_at = float("-inf")
         #: Unix seconds up to which every acknowledged record is known, None before the first time.
         self.confirmed_at: float | None = None
+        #: Unix seconds before which the records handled now were not there, None when that is unknown.
+        self.news_since: float | None = None
         #: Calls made so far.
         self.calls = 0
 
@@ -101,6 +112,9 @@
 
     def tick(self, now: float) -> None:
         """Starts the call that is due."""
+        if self._is_suspended(now):
+            self._suspended_at = now
+        self._ticked_at = now
         if self._in_flight or now < self._next_at:
             return
         self._in_flight = True
@@ -130,6 +144,7 @@
             self._page_end = outcome.end
             self._page_asked_at = self._asked_at
             self._page_keys.clear()
+        self.news_since = self.confirmed_at
         for record in outcome.records:
             self._page_keys.add(record.key)
             self._on_record(record)
@@ -144,12 +159,29 @@
 
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
+        self.news_since = self._news_since()
         for record in outcome.records:
             self._on_record(record)
             self._offset = record.offset + 1
         if self._offset is not None and self._offset >= outcome.end:
             self.confirmed_at = self._asked_at
 
+    def _news_since(self) -> float | None:
+        """Returns the unix seconds before which the records of an answer were not there.
+
+        A call that waits is answered as soon as a record comes, unless the store or this process was
+        away meanwhile.
+        """
+        now = self._now()
+        suspended = self._is_suspended(now) or self._suspended_at > self._asked_at
+        if self.confirmed_at is None or self._failures or suspended:
+            return self.confirmed_at
+        waited = now - self._asked_at > ANSWER_S
+        return now - ANSWER_S if waited else self.confirmed_at
+
+    def _is_suspended(self, now: float) -> bool:
+        return now - self._ticked_at >= SUSPENDED_S
+
     @_handle.register
     def _(self, _outcome: Trimmed) -> None:
         self._offset = None
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -203,7 +203,7 @@
         promises = self.settings.promises
         # Nothing is known of the time before the first read. Bounds hold only once the process has
         # run for a while, so the declaration is taken to bind from then on.
-        since = self.operators.confirmed_at
+        since = self.operators.news_since
         if since is None:
             settled_at = self._started_at - STARTUP_S + promises.settle_s
             since = settled_at - promises.version_s
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -111,3 +111,84 @@
             case.log.calls.pop()[1](Failure("down"))
         case.now += 0.01
     assert calls <= 10
+
+
+def suspended(case):
+    """The process stands still until just before the answer arrives."""
+    case.now += 3.9
+
+
+def ticking(case):
+    """The process ticks all the while."""
+    for _ in range(39):
+        case.now += 0.1
+        case.feed.tick(case.now)
+
+
+@pytest.mark.parametrize(
+    ("name", "meanwhile", "since"),
+    [
+        ("a waiting call is answered at once", ticking, 104.0 - 0.15),
+        ("a suspended process reads late", suspended, 100.0),
+    ],
+)
+def test_dates_news_by_the_call_that_waited_for_them(name, meanwhile, since):
+    """Guards against bounds that bind seconds early, or late after a suspension."""
+    case = Case()
+    seen = []
+    case.feed = Feed(
+        case.log,
+        FeedSettings("t", 10.0),
+        lambda: case.now,
+        lambda _record: seen.append(case.feed.news_since),
+        case.snapshots.append,
+        case.states.append,
+        Random(1),
+    )
+    case.answer(SnapshotPage((), False, 5), after_s=0.0)
+    case.feed.tick(case.now)
+    meanwhile(case)
+    _call, on_end = case.log.calls.pop()
+    case.now = 104.0
+    on_end(RecordBatch((record(5),), 6))
+    assert seen == [pytest.approx(since)], name
+
+
+@pytest.mark.parametrize(
+    ("name", "outcomes", "since"),
+    [
+        ("in the first snapshot", [SnapshotPage((record(4),), False, 5)], None),
+        (
+            "in a snapshot after a gap",
+            [SnapshotPage((), False, 5), Trimmed(), SnapshotPage((record(9),), False, 10)],
+            100.0,
+        ),
+        (
+            "after a failure",
+            [SnapshotPage((), False, 5), Failure("reset"), RecordBatch((record(5),), 6)],
+            100.0,
+        ),
+        (
+            "in an answer without a wait",
+            [SnapshotPage((), False, 5), RecordBatch((record(5),), 6)],
+            100.0,
+        ),
+    ],
+)
+def test_dates_other_news_by_the_last_complete_answer(name, outcomes, since):
+    """Guards against counting a bound from the end of an outage or of a suspension."""
+    case = Case()
+    seen = []
+    case.feed = Feed(
+        case.log,
+        FeedSettings("t", 1.0),
+        lambda: case.now,
+        lambda _record: seen.append(case.feed.news_since),
+        case.snapshots.append,
+        case.states.append,
+        Random(1),
+    )
+    for outcome in outcomes:
+        case.answer(outcome)
+        case.now += 0.6
+    assert seen == [since], name
