Give up a version under way when a newer one is declared soon after it

Cause: a version under way was always completed first. Change: the older one is given up when the newer one comes within half the time of a copy; then skipping leaves a version in force earlier. The rule needs the declarations alone, so all agents of a chain decide alike.

--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -28,7 +28,7 @@
 from fescuechute.stager._loader import Loader, OrderLoad, StageChunk
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._reports import LoadTeller
-from fescuechute.stager._sharing import ChunkPlace, Sharing
+from fescuechute.stager._sharing import LINK_SHARE, ChunkPlace, Sharing
 from fescuechute.stager._versions import VersionPlan
 from fescuechute.weights import split_chains
 from fescuechute.wire import PROTOCOL_VERSION, Hello, Message
@@ -344,6 +344,14 @@
         chains = split_chains(ordered, 1 if origin is None else self._chains(origin))
         return next(chain for chain in chains if cfg.ip in chain)
 
+    def _copy_s(self) -> float:
+        """Returns the seconds in which a copy of the weights arrives, 0 while that is unknown."""
+        service = self._services.get(self.settings.service)
+        link_bits_s = self.settings.link_bits_s
+        if service is None or service.engine is None or not link_bits_s:
+            return 0.0
+        return service.engine.chunks * service.engine.chunk_bytes * 8 / (link_bits_s * LINK_SHARE)
+
     def _chains(self, origin: Service) -> int:
         """Returns the number of chains that the link of the origin can feed at their full rate."""
         link_bits_s = self.settings.link_bits_s
@@ -355,6 +363,7 @@
         decoded = self.decoded(decode_operator_record, record)
         if isinstance(decoded, Configuration):
             self._services = decoded.services
+            self.versions.copy_s = self._copy_s()
             self._connect()
         elif isinstance(decoded, VersionDeclaration) and decoded.model == self.model:
             self.telemetry.event(
@@ -363,7 +372,7 @@
                 version=decoded.version,
                 offset=record.offset,
             )
-            self.versions.declare(decoded.version)
+            self.versions.declare(decoded.version, self.clock.now())
             self._want()
             self._ask_manifests(self.clock.now())
 
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -8,6 +8,10 @@
 
 #: Version that engines hold before the first declaration.
 FIRST_VERSION = 1
+#: Part of the time of a copy within which a newer declaration replaces one under way. Completing the
+#: older one first leaves no version in force for two copies less the bound and the distance of the
+#: declarations; skipping it, for one copy and that distance less the bound. They are equal at a half.
+SUPERSEDE_SHARE = 0.5
 
 
 @attrs.define
@@ -17,6 +21,8 @@
     version: int
     #: Digests of its chunks in order, None before the manifest is known.
     digests: tuple[bytes, ...] | None = None
+    #: Unix seconds at which its declaration arrived, minus infinity for one that came without.
+    declared_at: float = float("-inf")
 
     def complete(self, held: Container[bytes]) -> bool:
         """Whether all chunks are held."""
@@ -30,9 +36,9 @@
 class VersionPlan:
     """Which versions are fetched, in which order, and which one the engine should load.
 
-    Fetching a version that is under way is completed before a newer one begins: a declaration that
-    comes while the link is busy would otherwise throw away most of a copy and leave no version in
-    time.
+    A version that is under way is completed before a newer one begins, unless the newer one was
+    declared so soon after it that skipping leaves a version in force earlier. The rule depends on the
+    declarations alone, so that all agents of a chain decide alike.
 
     Args:
       held: The chunks already held.
@@ -40,6 +46,8 @@
 
     def __init__(self, held: Container[bytes]):
         self._held = held
+        #: Seconds in which a copy arrives over the link of the VM, 0 while unknown.
+        self.copy_s = 0.0
         self._rows: dict[int, VersionRow] = {FIRST_VERSION: VersionRow(FIRST_VERSION)}
         self._loaded = 0
 
@@ -53,10 +61,10 @@
         """Version that the engine holds, 0 for none."""
         return self._loaded
 
-    def declare(self, version: int) -> None:
-        """Takes over a declaration."""
+    def declare(self, version: int, now: float = float("-inf")) -> None:
+        """Takes over a declaration that arrived at a time in unix seconds."""
         if version > self.newest:
-            self._rows[version] = VersionRow(version)
+            self._rows[version] = VersionRow(version, declared_at=now)
 
     def set_loaded(self, version: int) -> None:
         """Takes over what the engine holds."""
@@ -105,6 +113,7 @@
             row
             for row in self._rows.values()
             if row.version < newest.version
+            and not self._is_superseded(row, newest)
             and row.started(self._held)
             and not row.complete(self._held)
         ]
@@ -112,6 +121,9 @@
             return max(begun, key=lambda row: row.version)
         return None if newest.complete(self._held) else newest
 
+    def _is_superseded(self, row: VersionRow, newest: VersionRow) -> bool:
+        return newest.declared_at - row.declared_at < SUPERSEDE_SHARE * self.copy_s
+
     def to_load(self) -> VersionRow | None:
         """Returns the newest complete version that the engine lacks, or None."""
         rows = [
--- a/tests/stager/test_versions_and_loader.py
+++ b/tests/stager/test_versions_and_loader.py
@@ -1,5 +1,7 @@
 """Versions and loads: guards against partial weights, rot, and links that carry two copies at once."""
 
+import pytest
+
 from fescuechute.catalog import EngineReport
 from fescuechute.stager import Loader, OrderLoad, StageChunk, VersionPlan, VersionRow
 
@@ -34,6 +36,22 @@
         """Guards against a copy that is not needed any more when it is whole."""
         assert plan(set(), v1=ONE, v2=TWO, v3=THREE).wanted() == THREE
 
+    @pytest.mark.parametrize(
+        ("name", "apart_s", "wanted"),
+        [
+            ("soon after, the older one is given up", 2.0, THREE),
+            ("later, most of the older one is there already", 4.0, TWO),
+        ],
+    )
+    def test_a_version_declared_soon_after_replaces_the_one_under_way(self, name, apart_s, wanted):
+        """Guards against two copies one after the other, the second of them far behind its bound."""
+        versions = VersionPlan({b"2a"})
+        versions.copy_s = 6.0
+        for version, digests in ((2, TWO), (3, THREE)):
+            versions.declare(version, 100.0 + (version - 2) * apart_s)
+            versions.set_manifest(version, digests)
+        assert versions.wanted() == wanted, name
+
     def test_only_whole_versions_are_loaded(self):
         """Guards against partial weights."""
         held = {b"2a"}
