Count what requests experience at a replica before what loads let expect

Reports of the engine and the profile still promised an early first event, and an attempt counted as slow only after 1.5 s. Change: a replica is expected to need at least as long as its oldest attempt that has not begun.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -78,7 +78,7 @@
         rows = [row for row in rows if row.total < self._most(wanted)]
         if not rows:
             return None
-        costs = {row.instance: self._cost(row, wanted) for row in rows}
+        costs = {row.instance: self._cost(row, wanted, now) for row in rows}
         best = min(rows, key=lambda row: (costs[row.instance], self._rng.random()))
         version = best.versions.get(wanted.model) if required else None
         return Choice(best, costs[best.instance], version, len(rows))
@@ -95,12 +95,15 @@
             return wanted.service.max_connections
         return engine.slots + BEYOND_SLOTS_BY_RANK[min(wanted.rank, len(BEYOND_SLOTS_BY_RANK) - 1)]
 
-    def _cost(self, row: UpstreamRow, wanted: Wanted) -> float:
+    def _cost(self, row: UpstreamRow, wanted: Wanted, now: float) -> float:
         engine: EngineProfile | None = wanted.service.engine
         if engine is not None:
             cost = first_event_s(engine, row, wanted.prompt_tokens)
         else:
             cost = row.total / max(1, row.entry.slots) * 0.05
+        # What requests experience there now counts before what loads and speeds let expect: behind a
+        # slow link both are out of date.
+        cost = max(cost, row.unanswered_s(now))
         if row.region != self._region:
             cost += OTHER_REGION_S
         elif row.entry.data_centre != self._data_centre:
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -80,10 +80,11 @@
         row = attempt.choice.row
         row.in_flight += 1
         row.sent_since += 1
+        now = self.now()
+        row.unanswered[attempt] = now
         if transfer.streaming:
             attempt.unread_tokens = transfer.meta.prompt_tokens
             row.unread_tokens += attempt.unread_tokens
-        now = self.now()
         self._telemetry.event(
             "attempt",
             id=transfer.meta.request_id,
@@ -141,6 +142,7 @@
         row = attempt.choice.row
         now = self.now()
         row.in_flight -= 1
+        row.unanswered.pop(attempt, None)
         row.unread_tokens -= attempt.unread_tokens
         attempt.unread_tokens = 0
         if not outcome:
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -300,9 +300,10 @@
         now = self._dispatch.now()
         if self.first_event_at is None:
             self.first_event_at = now
-        if attempt.unread_tokens:
-            attempt.choice.row.unread_tokens -= attempt.unread_tokens
-            attempt.unread_tokens = 0
+        row = attempt.choice.row
+        row.unanswered.pop(attempt, None)
+        row.unread_tokens -= attempt.unread_tokens
+        attempt.unread_tokens = 0
         if self.repeatable:
             self._silent_at = now + STREAM_SILENCE_S
 
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -28,6 +28,8 @@
     in_flight: int = 0
     #: Prompt tokens of those among them that have not begun to answer.
     unread_tokens: int = 0
+    #: Unix seconds at which each attempt without the beginning of an answer was sent, oldest first.
+    unanswered: dict[object, float] = attrs.field(factory=dict)
     #: Requests of all gateways there, from the last report, less our own at that time.
     others: int = 0
     #: Requests of this gateway since the last report, and the other gateways that report shares.
@@ -68,6 +70,10 @@
         """Prompt tokens believed to be unread there, of all gateways."""
         return self.unread_tokens * (1 + self.other_gateways)
 
+    def unanswered_s(self, now: float) -> float:
+        """Returns for how long the oldest attempt has waited for the beginning of its answer."""
+        return now - next(iter(self.unanswered.values()), now)
+
     def report(self, report: EngineReport, now: float, other_gateways: int = 0) -> None:
         """Takes over what the engine says of its load."""
         self.others = max(0, report.running + report.waiting - self.in_flight)
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -126,3 +126,14 @@
     for _ in range(5):
         case.table.get("a").failed()
     assert case.choose() == ("b", None)
+
+
+def test_an_engine_that_does_not_begin_is_passed_over():
+    """Guards against requests that queue in front of a squeezed link and arrive after their clients left."""
+    case = Case(a=1, b=1)
+    load(case, "b", running=12)
+    assert case.choose(now=1.0)[0] == "a"
+    case.table.get("a").unanswered["an attempt"] = 0.0
+    assert case.choose(now=1.0)[0] == "b"
+    del case.table.get("a").unanswered["an attempt"]
+    assert case.choose(now=1.0)[0] == "a"
