Let entries that lapsed in an outage return until two seconds after it, not later

Cause: a replica that was withdrawn within 2 s of the return of the store was kept for another 2 s from the moment at which that was read. Change: the time is counted from the return of the store.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -244,9 +244,10 @@
 
     def _withdrawn(self, instance: str) -> None:
         """Drops a replica; one that lapsed while the store was away may come back."""
-        now = self.clock.now()
-        disturbed = now - self._registry_failed_at < RETURN_S
-        if self.upstreams.remove(instance, now + RETURN_S if disturbed else None) is not None:
+        # Counted from the return of the store: what is withdrawn later did not lapse meanwhile.
+        back_by = self._registry_failed_at + RETURN_S
+        lapses_at = back_by if self.clock.now() < back_by else None
+        if self.upstreams.remove(instance, lapses_at) is not None:
             self._forget(instance, "withdrawn")
 
     def _forget(self, instance: str, reason: str) -> None:
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -60,6 +60,10 @@
         }
         self.put("keyed.servers", f"i-{number}", entry)
 
+    def withdraw(self, number: int) -> None:
+        """Removes the entry of a replica."""
+        self._call(self.store.port, "PUT", f"/records/keyed.servers/i-{number}")
+
     def configure(self, keys: tuple[str, ...] = ("k1",), **changes: Any) -> None:
         """Writes a new version of the configuration."""
         self._version += 1
@@ -141,6 +145,16 @@
         text = self.gateway.stdout.read_text()
         return [json.loads(line) for line in text.splitlines()]
 
+    def line(self, event: str, **fields: Any) -> dict[str, Any]:
+        """Waits for a log line and returns it."""
+
+        def matching() -> list[dict[str, Any]]:
+            wanted = {"event": event, **fields}.items()
+            return [line for line in self.lines() if wanted <= line.items()]
+
+        until(lambda: bool(matching()))
+        return matching()[0]
+
     def _node(self) -> dict[str, Any]:
         ip = self._ip
         return {
--- a/tests/platform/test_gateway_process.py
+++ b/tests/platform/test_gateway_process.py
@@ -102,6 +102,18 @@
     assert after == before
 
 
+def test_a_replica_withdrawn_after_an_outage_gets_nothing_after_two_seconds(deployment):
+    """Guards against a departure that counts as a lease that lapsed during the outage before it."""
+    deployment.start()
+    deployment.faults(deployment.store, turn_away=True)
+    deployment.line("dependency.lost", dependency="store/keyed.servers")
+    deployment.faults(deployment.store, turn_away=False)
+    returned = deployment.line("dependency.regained", dependency="store/keyed.servers")
+    deployment.withdraw(0)
+    gone = deployment.line("upstream.gone", upstream="i-0")
+    assert gone["at"] - returned["at"] <= 2.2
+
+
 def test_a_failed_request_runs_once_more_elsewhere(deployment):
     """Guards against failures that a client need not see."""
     deployment.start()
