--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -124,7 +124,9 @@
         if self._offset is None:
             self._log.snapshot(self._settings.topic, self._page_after, self._ended)
         else:
-            self._log.read(self._settings.topic, self._offset, self._settings.wait_s, self._ended)
+            # A call that waits at a store that is away would hide its return for as long.
+            wait_s = 0.0 if self._failures else self._settings.wait_s
+            self._log.read(self._settings.topic, self._offset, wait_s, self._ended)
 
     def _ended(self, outcome: Outcome) -> None:
         self._in_flight = False
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -26,6 +26,7 @@
 
     def read(self, topic, offset, wait_s, on_end):
         self.calls.append((("read", offset), on_end))
+        self.wait_s = wait_s
 
 
 class Case:
@@ -192,3 +193,15 @@
         case.answer(outcome)
         case.now += 0.6
     assert seen == [since], name
+
+
+def test_does_not_wait_at_a_store_that_is_away():
+    """Guards against news that are read seconds after the return of the store."""
+    case = Case()
+    case.answer(SnapshotPage((), False, 5))
+    waits = []
+    for outcome in (Failure("silent"), Failure("silent"), RecordBatch((), 5), RecordBatch((), 5)):
+        case.now += 1.0
+        case.answer(outcome)
+        waits.append(case.log.wait_s)
+    assert waits == [1.0, 0.0, 0.0, 1.0]
