Distribute weights along a ring on which every agent draws a share

Change: Ring replaces Chain. Every agent draws an equal share and gets the others from the one before it; shares of lost agents are drawn by the one behind; an agent far behind the next is passed over; windows of 4 that shrink with the rate; two sources where both hold everything; fetches that are cancelled when their link goes. Stagers wait 3 s for declarations instead of 10 s.

--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -30,14 +30,14 @@
 from fescuechute.stager._reports import LoadTeller
 from fescuechute.stager._sharing import LINK_SHARE, ChunkPlace, Sharing
 from fescuechute.stager._versions import VersionPlan
-from fescuechute.weights import split_chains
 from fescuechute.wire import PROTOCOL_VERSION, Hello, Message
 
 #: Seconds between two ticks.
 TICK_S = 0.05
-#: Seconds for which a call for declarations waits; nothing else depends on its date.
-OPERATORS_WAIT_S = 10.0
-#: Seconds between two reads of the registry, which names the agents of the chain: while the engine
+#: Seconds for which a call for declarations waits. A store that goes silent meanwhile is noticed at the
+#: end only, and a declared version must be in force after 8 s.
+OPERATORS_WAIT_S = 3.0
+#: Seconds between two reads of the registry, which names the agents of the ring: while the engine
 #: is empty, and otherwise. Agents that start together must find each other before each of them
 #: takes a copy from the origin.
 REGISTRY_BUSY_S = 0.4
@@ -195,15 +195,15 @@
         self.engine.load(self.model, version, ended)
 
     def _tell_progress(self, now: float) -> None:
-        missing = self.sharing.chain.missing
+        missing = self.sharing.ring.missing
         if now >= self._progress_at and missing:
             self._progress_at = now + PROGRESS_EVERY_S
-            chain = self.sharing.chain
+            ring = self.sharing.ring
             self.telemetry.event(
                 "version.progress",
                 missing=missing,
-                announced=chain.sources(),
-                fetching=chain.fetching(),
+                announced=ring.sources(),
+                fetching=ring.fetching(),
             )
 
     # The engine.
@@ -289,7 +289,7 @@
         return ChunkPlace(origin.origin, self.model, *place)
 
     def _chunk_arrived(self) -> None:
-        if self.sharing.chain.missing:
+        if self.sharing.ring.missing:
             return
         row = self.versions.to_load()
         if row is not None:
@@ -319,17 +319,18 @@
         self.telemetry.count(name)
 
     def _connect(self) -> None:
-        """Keeps links to the agents before this one in its chain."""
-        wanted = self.sharing.chain.set_order(self._own_chain())
+        """Keeps links to the agents before this one."""
+        origin = self._origin_service()
+        connections = 1 if origin is None else origin.max_connections
+        wanted = self.sharing.ring.set_order(self._agents(origin), connections)
         for peer_id in self.hub.wanted() - set(wanted):
             self.hub.disconnect(peer_id)
         for peer_id in wanted:
             self.hub.connect(peer_id, peer_id, self.settings.peer_port + LINK_PORT_OFFSET)
 
-    def _own_chain(self) -> list[str]:
-        """Returns the chain of this agent; all agents with the same registry agree on it."""
+    def _agents(self, origin: Service | None) -> list[str]:
+        """Returns the agents of the ring; all of them that read the same registry agree on it."""
         cfg = self.settings
-        origin = self._origin_service()
         first = "" if origin is None else cfg.regions.get(origin.data_centre, "")
         agents = {
             (entry.data_centre, entry.address.ip)
@@ -340,9 +341,7 @@
         for data_centre, ip in sorted(agents | {(cfg.data_centre, cfg.ip)}):
             regions.setdefault(cfg.regions.get(data_centre, data_centre), []).append(ip)
         rest = sorted(region for region in regions if region != first)
-        ordered = [regions[region] for region in [first, *rest]]
-        chains = split_chains(ordered, 1 if origin is None else self._chains(origin))
-        return next(chain for chain in chains if cfg.ip in chain)
+        return [ip for region in [first, *rest] for ip in regions[region]]
 
     def _copy_s(self) -> float:
         """Returns the seconds in which a copy of the weights arrives, 0 while that is unknown."""
@@ -352,11 +351,6 @@
             return 0.0
         return service.engine.chunks * service.engine.chunk_bytes * 8 / (link_bits_s * LINK_SHARE)
 
-    def _chains(self, origin: Service) -> int:
-        """Returns the number of chains that the link of the origin can feed at their full rate."""
-        link_bits_s = self.settings.link_bits_s
-        return max(1, int(origin.link_bits_s / link_bits_s + 1e-6)) if link_bits_s else 1
-
     # Records.
 
     def _on_operator(self, record: KeyedRecord) -> None:
@@ -381,7 +375,7 @@
         entry = self.decoded(decode_registration, record)
         if entry is not None:
             self._entries[record.key] = entry
-        # Replicas write each heartbeat; the chain changes only with their places and states.
+        # Replicas write each heartbeat; the ring changes only with their places and states.
         if _place(before) != _place(entry):
             self._connect()
 
@@ -392,7 +386,7 @@
 
 
 def _place(entry: Registration | None) -> tuple[object, ...] | None:
-    """Returns what decides the place of a replica's agent in the chain."""
+    """Returns what decides the place of a replica's agent in the ring."""
     if entry is None:
         return None
     return (entry.service, entry.state, entry.data_centre, entry.address.ip)
--- a/fescuechute/stager/_sharing.py
+++ b/fescuechute/stager/_sharing.py
@@ -1,4 +1,4 @@
-"""Carries out the chain: fetches from peers and from the origin, and gives chunks to peers."""
+"""Carries out the ring: fetches from peers and from the origin, and gives chunks to peers."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
     ORIGIN,
     BlobStore,
     CancelFetch,
-    Chain,
     Command,
     FetchFromOrigin,
     FetchFromPeer,
+    Ring,
     TokenBucket,
     UploadQueue,
 )
@@ -35,14 +35,17 @@
 UPLOAD_LEAST = 4096
 UPLOAD_BURST = 24 << 10
 #: Requests of one peer, and of all peers, that may wait for upload.
-WAITING_PER_PEER = 16
-WAITING_TOTAL = 64
+WAITING_PER_PEER = 24
+WAITING_TOTAL = 72
 
 
 #: Path prefix of chunks, followed by the digest in hexadecimal.
 CHUNK_PATH = "/chunks/"
 #: Seconds without a byte after which a chunk from a peer counts as lost.
 SILENCE_S = 3.0
+#: The same for a chunk that the peer does not have yet; the ring gives up such fetches itself when
+#: their source stalls, so this only bounds how long a connection is kept.
+AHEAD_SILENCE_S = 30.0
 
 
 class Links(Protocol):
@@ -143,7 +146,7 @@
         telemetry: Telemetry,
     ):
         self.store = BlobStore(sha256)
-        self.chain = Chain(self_id, self.store)
+        self.ring = Ring(self_id, self.store)
         self._self_id = self_id
         self._links = links
         self._client = client
@@ -170,23 +173,23 @@
 
     def want(self, digests: Iterable[bytes]) -> None:
         """Replaces the wanted chunks."""
-        self.chain.want(digests)
+        self.ring.want(digests)
 
     def add(self, digest: bytes, data: bytes) -> bool:
         """Stores a chunk found elsewhere than at a source; False when its digest differs."""
         if not self.store.put(digest, data):
             return False
-        self.chain.arrived(digest, self._now())
+        self.ring.arrived(digest, self._now())
         return True
 
     def peer_up(self, peer_id: str) -> None:
         """A link to an agent is up."""
-        self.chain.peer_up(peer_id)
+        self.ring.peer_up(peer_id)
         self._told[peer_id] = 0
 
     def peer_down(self, peer_id: str) -> None:
         """A link is gone."""
-        self.chain.peer_down(peer_id)
+        self.ring.peer_down(peer_id)
         self._uploads.peer_down(peer_id)
         self._told.pop(peer_id, None)
 
@@ -196,7 +199,7 @@
 
     @receive.register
     def _(self, msg: Have, peer_id: str) -> None:
-        self.chain.peer_has(peer_id, msg.blobs, self._now())
+        self.ring.peer_has(peer_id, msg.blobs, self._now())
         self.run()
 
     def serve(self, request: CallerRequest) -> None:
@@ -217,7 +220,7 @@
             self._send_uploads()
 
     def _offer(self, peer_id: str, digest: bytes) -> None:
-        if not self._uploads.offer(peer_id, digest, self.chain.is_next(peer_id)):
+        if not self._uploads.offer(peer_id, digest, self.ring.is_next(peer_id)):
             self._waiting.pop((peer_id, digest)).send(503, [], b"")
 
     def _give_up(self, peer_id: str, digest: bytes) -> None:
@@ -228,14 +231,14 @@
 
     def run(self) -> None:
         """Starts the fetches that are due."""
-        for command in self.chain.plan(self._now()):
+        for command in self.ring.plan(self._now()):
             self._carry_out(command)
 
     def tick(self) -> None:
         """Starts the fetches that are due and tells the agents behind this one what is new."""
         self.run()
         for peer_id in self._told:
-            if self.chain.is_behind(peer_id):
+            if self.ring.is_behind(peer_id):
                 self._announce(peer_id)
 
     @singledispatchmethod
@@ -250,14 +253,14 @@
             (peer_id, self._port),
             f"{CHUNK_PATH}{digest.hex()}?{self._self_id}",
             lambda result: self._peer_answered(digest, peer_id, result),
-            silence_s=SILENCE_S,
+            silence_s=AHEAD_SILENCE_S if command.deadline == float("inf") else SILENCE_S,
         )
 
     @_carry_out.register
     def _(self, command: FetchFromOrigin) -> None:
         place = self._place_of(command.digest)
         if place is None:
-            self.chain.refused(command.digest, ORIGIN, self._now())
+            self.ring.refused(command.digest, ORIGIN, self._now())
             return
         digest = command.digest
         self._calls[digest] = self._origin.chunk(
@@ -304,7 +307,7 @@
             return
         reason = result.error or f"status {result.status}"
         self._telemetry.event("chunk.failed", source=peer_id, reason=reason)
-        self.chain.refused(digest, peer_id, self._now())
+        self.ring.refused(digest, peer_id, self._now())
         self.run()
 
     def _origin_answered(self, digest: bytes, answer: bytes | str) -> None:
@@ -313,18 +316,18 @@
             self._arrived(digest, ORIGIN, answer)
             return
         self._telemetry.event("chunk.failed", source=ORIGIN, reason=answer)
-        self.chain.refused(digest, ORIGIN, self._now())
+        self.ring.refused(digest, ORIGIN, self._now())
         self.run()
 
     def _arrived(self, digest: bytes, source: str, data: bytes) -> None:
         if self.store.put(digest, data):
             self._telemetry.count("chunk.arrived", ORIGIN if source == ORIGIN else "peer")
-            self.chain.arrived(digest, self._now())
+            self.ring.arrived(digest, self._now())
             self._pass_on(digest)
             self._on_chunk()
         else:
             self._telemetry.event("chunk.corrupt", source=source, digest=digest.hex()[:16])
-            self.chain.bad(digest, source, self._now())
+            self.ring.bad(digest, source, self._now())
         self.run()
 
     def _pass_on(self, digest: bytes) -> None:
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -38,7 +38,7 @@
 
     A version that is under way is completed before a newer one begins, unless the newer one was
     declared so soon after it that skipping leaves a version in force earlier. The rule depends on the
-    declarations alone, so that all agents of a chain decide alike.
+    declarations alone, so that all agents of a ring decide alike.
 
     Args:
       held: The chunks already held.
--- a/fescuechute/weights/__init__.py
+++ b/fescuechute/weights/__init__.py
@@ -9,7 +9,6 @@
         carry_out(command)
 """
 
-from fescuechute.weights._chain import PREDECESSORS, Chain, ChainLimits, split_chains
 from fescuechute.weights._commands import (
     ORIGIN,
     CancelFetch,
@@ -35,6 +34,8 @@
     split,
 )
 from fescuechute.weights._peers import ExchangeLimits
+from fescuechute.weights._ring import Ring
+from fescuechute.weights._ring_limits import PREDECESSORS, RingLimits
 from fescuechute.weights._store import BlobStore
 from fescuechute.weights._switch import Switch
 from fescuechute.weights._switch_rows import SwitchLimits, SwitchState, Target
@@ -47,8 +48,6 @@
     "PREDECESSORS",
     "BlobStore",
     "CancelFetch",
-    "Chain",
-    "ChainLimits",
     "Command",
     "Drain",
     "Exchange",
@@ -59,6 +58,8 @@
     "ManifestError",
     "ReadBack",
     "Replica",
+    "Ring",
+    "RingLimits",
     "SendOrder",
     "Serve",
     "Stage",
@@ -76,6 +77,5 @@
     "may_switch",
     "parse_manifest",
     "split",
-    "split_chains",
     "wave_width",
 ]
--- a/fescuechute/weights/_chain.py
+++ b/fescuechute/weights/_ring.py
@@ -1,13 +1,14 @@
-"""Distribution along a chain: each agent takes chunks from the agent before it as they arrive there.
+"""Distribution along a ring: each agent takes chunks from the agent before it as they arrive there.
 
-Every machine receives and sends at the full rate of its link at the same time, so a burst to N
-machines takes the time of one copy plus N - 1 chunks. The origin sends one copy, and each boundary
-between regions is crossed once. See docs/platform.md for the comparison with `Exchange`.
+Every machine receives and sends at the full rate of its link at the same time. Each agent draws a
+share of the chunks from the origin and gets the others along the ring, so that all of them receive
+from the beginning, the origin sends one copy as fast as its link allows, and an outage of the origin
+soon leaves nothing to wait for. See docs/platform.md for the comparison with other ways.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Container, Iterable, Sequence
 
 import attrs
@@ -19,46 +20,7 @@
     FetchFromOrigin,
     FetchFromPeer,
 )
-
-#: Agents before this one in the chain to which links are kept.
-PREDECESSORS = 3
-
-
-#: Agents by which a chain may be longer to spare one copy between regions.
-CROSSING_AGENTS = 3
-
-
-@attrs.frozen
-class ChainLimits:
-    """Numbers that govern the chain. Times are in seconds."""
-
-    #: Fetches in flight from one source, and from all sources. Each is a connection with a small
-    #: window, and the way back of a busy link is slow, so that few of them do not fill it.
-    window: int = 12
-    parallel: int = 14
-    #: The same for the origin, which has a link for itself; more would queue in front of requests.
-    origin_window: int = 4
-    #: Time without an announcement after which a nearer agent counts as stalled, and the chunks by
-    #: which it may be behind the next one; then that one is asked too. Both are several times what a
-    #: healthy neighbour shows. Asking it sooner would split its link and slow the whole chain.
-    stall_s: float = 0.8
-    lag_chunks: int = 10
-    #: Time without a chunk from the source of a fetch from which on it counts as slow.
-    slow_s: float = 0.7
-    #: Time without a chunk from its source after which a fetch of an announced chunk is given up, and
-    #: for which the source is avoided then. One that was asked for ahead is given up when its source stalls.
-    fetch_s: float = 1.5
-    avoid_s: float = 1.0
-    #: Time for which a source is avoided after it refused a chunk.
-    refused_s: float = 0.1
-    #: Time without a new chunk at the agents before it after which an agent asks the origin itself;
-    #: grows with its place in the chain, so that the first one of a region cut off does it alone.
-    takeover_s: float = 0.8
-    takeover_step_s: float = 0.1
-    #: Time after the wanted chunks changed in which links may come up before the origin is asked.
-    links_s: float = 0.3
-    #: Pause after a failure of the origin.
-    origin_pause_s: float = 0.2
+from fescuechute.weights._ring_limits import PREDECESSORS, RingLimits
 
 
 @attrs.define
@@ -69,6 +31,8 @@
     #: Time at which it last announced a chunk that was missing here.
     news_at: float = 0.0
     avoid_until: float = 0.0
+    #: Time at which its link was first seen to be up.
+    up_at: float | None = None
 
 
 @attrs.define
@@ -78,7 +42,7 @@
     started_at: float
 
 
-class Chain:
+class Ring:
     """Decides the fetches of one agent.
 
     Inputs change rows; `plan(now)` returns the commands to carry out. The daemon verifies and
@@ -87,51 +51,84 @@
     Args:
       self_id: Id of this agent.
       held: The chunks already held, usually the BlobStore.
-      limits: Numbers that govern the chain.
+      limits: Numbers that govern the ring.
     """
 
-    def __init__(self, self_id: str, held: Container[bytes], limits: ChainLimits | None = None):
+    def __init__(self, self_id: str, held: Container[bytes], limits: RingLimits | None = None):
         self._self_id = self_id
         self._held = held
-        self._limits = limits or ChainLimits()
+        self._limits = limits or RingLimits()
+        #: Own place in the ring, its length, and the number of agents that draw from the origin.
         self._place = 0
+        self._length = 1
+        self._drawing = 1
         self._before: tuple[str, ...] = ()
         self._behind: tuple[str, ...] = ()
-        #: Missing chunks in the order in which they are fetched.
-        self._missing: dict[bytes, None] = {}
+        self._wanted: tuple[bytes, ...] = ()
+        #: Missing chunks in the order in which they are fetched, with the number of agents by which
+        #: the one that draws the chunk lies before this one.
+        self._missing: dict[bytes, int] = {}
         self._peers: dict[str, _Peer] = {}
         self._fetches: dict[bytes, _Fetch] = {}
         self._cancels: list[Command] = []
         #: Time at which each source last gave a chunk. A slow link serves its fetches one by one, so
         #: the age of a fetch alone says little.
         self._served_at: dict[str, float] = {}
+        #: Times of the last arrivals since the wanted chunks changed.
+        self._arrivals: deque[float] = deque(maxlen=self._limits.rate_chunks)
         self._origin_at = 0.0
         self._news_at = 0.0
         self._wanted_at: float | None = None
+        #: Time at which few chunks were left, or None.
+        self._endgame_at: float | None = None
 
     # Inputs.
 
     def want(self, digests: Iterable[bytes]) -> None:
-        """Replaces the wanted chunks; they are fetched in this order."""
-        missing = {digest: None for digest in digests if digest not in self._held}
-        if list(missing) == list(self._missing):
-            return
-        if missing.keys() - self._missing.keys():
-            self._wanted_at = None
-        self._missing = missing
-        for digest in [digest for digest in self._fetches if digest not in missing]:
-            self._cancels.append(CancelFetch(self._fetches.pop(digest).source, digest))
+        """Replaces the wanted chunks."""
+        self._wanted = tuple(digests)
+        self._arrange()
+
+    def set_order(self, agents: Sequence[str], connections: int) -> tuple[str, ...]:
+        """Takes over the ring; returns the agents to which links are needed.
 
-    def set_order(self, agents: Sequence[str]) -> tuple[str, ...]:
-        """Takes over the order of the chain; returns the agents to which links are needed."""
+        Args:
+          agents: Ids in order; the first follows the last.
+          connections: Connections that the origin accepts.
+        """
         order = list(agents)
-        self._place = order.index(self._self_id)
-        ring = order[self._place + 1 :] + order[: self._place]
-        # The nearest first; the first agent of the chain looks to its end.
+        at = order.index(self._self_id)
+        ring = order[at + 1 :] + order[:at]
+        # The nearest first.
         self._before = tuple(reversed(ring))[:PREDECESSORS]
         self._behind = tuple(ring[:PREDECESSORS])
+        room = int(connections * self._limits.origin_share / self._limits.origin_window)
+        self._drawing = max(1, min(len(order), room))
+        self._place, self._length = at, len(order)
+        self._arrange()
         return self._before
 
+    def _arrange(self) -> None:
+        """Puts the wanted chunks in the order in which they reach this agent.
+
+        All shares are drawn at the same pace, and the nearer ones come first.
+        """
+        total, drawing = len(self._wanted), self._drawing
+        order: list[tuple[int, int, bytes]] = []
+        for n in range(drawing):
+            share = self._wanted[total * n // drawing : total * (n + 1) // drawing]
+            # The agents that draw are spread evenly over the ring.
+            distance = (self._place + -n * self._length // drawing) % self._length
+            order += [(rank, distance, digest) for rank, digest in enumerate(share)]
+        missing = {
+            digest: distance for _, distance, digest in sorted(order) if digest not in self._held
+        }
+        if missing.keys() - self._missing.keys():
+            self._wanted_at = None
+        self._missing = missing
+        for digest in [digest for digest in self._fetches if digest not in missing]:
+            self._cancels.append(CancelFetch(self._fetches.pop(digest).source, digest))
+
     def peer_up(self, peer_id: str) -> None:
         """A link to an agent is up; it announces its chunks afterwards."""
         self.peer_down(peer_id)
@@ -142,6 +139,7 @@
         self._peers.pop(peer_id, None)
         for digest in [d for d, fetch in self._fetches.items() if fetch.source == peer_id]:
             del self._fetches[digest]
+            self._cancels.append(CancelFetch(peer_id, digest))
 
     def peer_has(self, peer_id: str, digests: Iterable[bytes], now: float) -> None:
         """An agent announces chunks."""
@@ -162,6 +160,7 @@
         fetch = self._fetches.pop(digest, None)
         if fetch is not None:
             self._served_at[fetch.source] = now
+            self._arrivals.append(now)
 
     def bad(self, digest: bytes, source: str, now: float) -> None:
         """A chunk failed verification."""
@@ -173,13 +172,18 @@
         if fetch is not None and fetch.source == source:
             del self._fetches[digest]
         if source == ORIGIN:
-            self._origin_at = now + self._limits.origin_pause_s
+            self._origin_failed(now)
             return
         peer = self._peers.get(source)
         if peer is not None:
             peer.has.pop(digest, None)
             peer.avoid_until = max(peer.avoid_until, now + self._limits.refused_s)
 
+    def _origin_failed(self, now: float) -> None:
+        self._origin_at = now + self._limits.origin_pause_s
+        # Nobody gets a share while the origin is away; that says nothing of those that draw it.
+        self._news_at = now
+
     # Views.
 
     def is_missing(self, digest: bytes) -> bool:
@@ -187,7 +191,7 @@
         return digest in self._missing
 
     def is_next(self, peer_id: str) -> bool:
-        """Returns whether an agent is the one right behind this one in the chain."""
+        """Returns whether an agent is the one right behind this one in the ring."""
         return self._behind[:1] == (peer_id,)
 
     def is_behind(self, peer_id: str) -> bool:
@@ -211,21 +215,58 @@
 
     def plan(self, now: float) -> list[Command]:
         """Returns the commands that are due."""
+        limits = self._limits
         if self._wanted_at is None:
             self._begin(now)
+        self._note_times(now)
         commands, self._cancels = self._cancels, []
         commands += self._expire(now)
-        for digest in list(self._missing):
-            if len(self._fetches) >= self._limits.parallel:
-                break
-            if digest in self._fetches:
+        usable = [peer for peer in self._linked() if now >= peer.avoid_until]
+        turn, origin_next = self._turn(usable, now)
+        window = self._window(now)
+        if all(self._has_all(peer) for peer in turn):
+            window = -(-window // max(1, len(turn)))
+        busy = Counter(f.source for f in self._fetches.values() if f.started_at < float("inf"))
+        for digest, distance in self._missing.items():
+            fetch = self._fetches.get(digest)
+            if fetch is not None and fetch.started_at < float("inf"):
                 continue
-            source = self._source(digest, now)
+            draws = self._draws(distance, now)
+            peers = usable if draws else turn
+            holders = [peer.id for peer in peers if digest in peer.has]
+            free = [peer_id for peer_id in holders if busy[peer_id] < window]
+            source = min(free, key=lambda peer_id: busy[peer_id], default=None)
+            if not holders and (draws or origin_next) and busy[ORIGIN] < limits.origin_window:
+                source = ORIGIN if self._may_ask_origin(draws, distance, now) else None
             if source is not None:
+                if fetch is not None:
+                    # It was asked for ahead, in vain so far.
+                    commands.append(CancelFetch(fetch.source, digest))
+                busy[source] += 1
                 self._fetches[digest] = _Fetch(source, now)
-                commands.append(_fetch(source, digest, now + self._limits.fetch_s))
+                commands.append(_fetch(source, digest, now + limits.fetch_s))
         return commands + self._ask_ahead(now)
 
+    def _note_times(self, now: float) -> None:
+        for peer in self._peers.values():
+            if peer.up_at is None:
+                peer.up_at = now
+        few = len(self._missing) <= self._limits.endgame_share * len(self._wanted)
+        if not few:
+            self._endgame_at = None
+        elif self._endgame_at is None:
+            self._endgame_at = now
+
+    def _turn(self, usable: Sequence[_Peer], now: float) -> tuple[list[_Peer], bool]:
+        """Returns the agents whose turn it is, nearest first, and whether the origin follows them."""
+        turn: list[_Peer] = []
+        for peer in usable:
+            turn.append(peer)
+            if not self._passes_over(peer, now):
+                # Farther agents are left to those next to them.
+                return turn, False
+        return turn, True
+
     def _ask_ahead(self, now: float) -> list[Command]:
         """Asks the agent before this one for chunks that it will have next.
 
@@ -233,14 +274,20 @@
         """
         commands: list[Command] = []
         near = next((peer for peer in self._linked() if now >= peer.avoid_until), None)
-        if near is None or self._place == 0 or self._stalls(near, now):
+        if near is None or self._stalls(near, now):
             return commands
-        for digest in self._missing:
-            if self._in_flight(near.id) >= self._limits.window:
+        room = self._window(now) - sum(
+            fetch.source == near.id and fetch.started_at == float("inf")
+            for fetch in self._fetches.values()
+        )
+        for digest, distance in self._missing.items():
+            if room <= 0:
                 break
-            if digest not in self._fetches and digest not in near.has:
-                self._fetches[digest] = _Fetch(near.id, float("inf"))
-                commands.append(FetchFromPeer(near.id, digest, float("inf")))
+            if digest in self._fetches or digest in near.has or distance == 0:
+                continue
+            self._fetches[digest] = _Fetch(near.id, float("inf"))
+            commands.append(FetchFromPeer(near.id, digest, float("inf")))
+            room -= 1
         return commands
 
     def _expire(self, now: float) -> list[Command]:
@@ -252,7 +299,7 @@
         for digest, fetch in late:
             del self._fetches[digest]
             if fetch.source == ORIGIN:
-                self._origin_at = now + self._limits.origin_pause_s
+                self._origin_failed(now)
             elif fetch.source in self._peers and fetch.started_at < now:
                 self._peers[fetch.source].avoid_until = now + self._limits.avoid_s
         return [CancelFetch(fetch.source, digest) for digest, fetch in late]
@@ -270,23 +317,10 @@
 
     def _begin(self, now: float) -> None:
         self._wanted_at = self._news_at = now
+        self._arrivals.clear()
         for peer in self._peers.values():
             peer.news_at = now
 
-    def _source(self, digest: bytes, now: float) -> str | None:
-        is_held = False
-        for peer in self._linked():
-            if now < peer.avoid_until:
-                continue
-            if digest in peer.has:
-                is_held = True
-                if self._in_flight(peer.id) < self._limits.window:
-                    return peer.id
-            if not self._passes_over(peer, now):
-                # Its turn: farther agents are left to those next to them.
-                return None
-        return ORIGIN if not is_held and self._may_ask_origin(now) else None
-
     def _passes_over(self, peer: _Peer, now: float) -> bool:
         """Returns whether the agent before this peer may be asked as well."""
         limits = self._limits
@@ -296,64 +330,58 @@
             if fetch.source == peer.id
         ):
             return True
-        if self._available(peer):
-            return False
-        if self._stalls(peer, now):
+        if self._stalls(peer, now) or self._has_all(peer):
             return True
         linked = self._linked()
         farther = linked[linked.index(peer) + 1 :]
+        available = self._available(peer)
         if any(self._available(other) for other in farther):
-            # Each agent is compared with the next one only: the distance along a healthy chain
+            # Each agent is compared with the next one only: the distance along a healthy ring
             # adds up.
-            return self._available(farther[0]) >= limits.lag_chunks
+            return self._available(farther[0]) - available >= limits.lag_chunks
         # Nobody farther has anything either, so the origin is the question.
-        return True
+        return not available
+
+    def _window(self, now: float) -> int:
+        """Returns the fetches that one source may have in flight."""
+        limits = self._limits
+        if len(self._arrivals) < limits.rate_chunks:
+            return limits.window
+        rate = limits.rate_chunks / max(now - self._arrivals[0], 1e-3)
+        return max(limits.least_window, min(limits.window, round(rate * limits.queue_s)))
+
+    def _has_all(self, peer: _Peer) -> bool:
+        """Returns whether an agent needs nothing itself, so that its link and others are free."""
+        return self._available(peer) == len(self._missing)
 
     def _available(self, peer: _Peer) -> int:
         return len(peer.has.keys() & self._missing.keys())
 
-    def _in_flight(self, source: str) -> int:
-        return sum(fetch.source == source for fetch in self._fetches.values())
-
     def _linked(self) -> list[_Peer]:
         return [self._peers[peer_id] for peer_id in self._before if peer_id in self._peers]
 
-    def _may_ask_origin(self, now: float) -> bool:
-        if now < self._origin_at or self._in_flight(ORIGIN) >= self._limits.origin_window:
-            return False
-        if self._place == 0:
-            linked = all(peer_id in self._peers for peer_id in self._before)
-            return linked or now - (self._wanted_at or 0.0) >= self._limits.links_s
-        patience_s = self._limits.takeover_s + self._place * self._limits.takeover_step_s
-        return now - self._news_at >= patience_s
-
-
-def split_chains(regions: Sequence[Sequence[str]], count: int) -> list[list[str]]:
-    """Splits agents into chains, each of which draws a copy from the origin.
+    def _draws(self, distance: int, now: float) -> bool:
+        """Returns whether a share is drawn here: the own one, or that of lost agents right before.
 
-    A chain that begins with a region costs nothing more between regions than one that goes on into
-    it, so such cuts are preferred.
-
-    Args:
-      regions: Agents of each region in their order, the region of the origin first.
-      count: Chains that the link of the origin can feed.
-    """
-    chains = [[(agent, region) for region, agents in enumerate(regions) for agent in agents]]
-    for _ in range(count - 1):
-        longest = max(chains, key=len)
-        if len(longest) < 2:
-            break
-        at = min(range(1, len(longest)), key=lambda at: _cut_cost(longest, at))
-        index = chains.index(longest)
-        chains[index : index + 1] = [longest[:at], longest[at:]]
-    return [[agent for agent, _ in chain] for chain in chains if chain]
-
-
-def _cut_cost(chain: list[tuple[str, int]], at: int) -> int:
-    """Returns the length of the longer part, in agents, and what an additional crossing costs."""
-    region = chain[at][1]
-    crosses = region > 0 and chain[at - 1][1] == region
-    return max(at, len(chain) - at) + (CROSSING_AGENTS if crosses else 0)
+        Args:
+          distance: Agents by which the one of the share lies before this one.
+          now: Unix seconds.
+        """
+        settled = self._wanted_at is not None and now - self._wanted_at >= self._limits.links_s
+        if distance == 0:
+            linked = self._linked()
+            since = now - self._limits.announce_s
+            told = all(peer.up_at is not None and peer.up_at <= since for peer in linked)
+            return settled or (told and len(linked) == len(self._before))
+        lost = not any(peer in self._peers for peer in self._before[:distance])
+        return settled and distance <= len(self._before) and lost
+
+    def _may_ask_origin(self, draws: bool, distance: int, now: float) -> bool:
+        if now < self._origin_at:
+            return False
+        patience_s = self._limits.takeover_s + distance * self._limits.takeover_step_s
+        since = self._news_at if self._endgame_at is None else self._endgame_at
+        return draws or now - since >= patience_s
 
 
 def _fetch(source: str, digest: bytes, deadline: float) -> Command:
--- a/tests/weights/chains.py
+++ b/tests/weights/rings.py
@@ -1,11 +1,11 @@
-"""A swarm of agents on a chain over links with a rate, with peers that stall, die or send rubbish."""
+"""A swarm of agents in a ring over links with a rate, with peers that stall, die or send rubbish."""
 
 from __future__ import annotations
 
 import heapq
 import itertools
 
-from fescuechute.weights import ORIGIN, CancelFetch, Chain, FetchFromOrigin, split_chains
+from fescuechute.weights import ORIGIN, CancelFetch, FetchFromOrigin, Ring
 
 #: Seconds that a chunk takes on a link, and that a message takes to another agent.
 CHUNK_S = 0.05
@@ -15,12 +15,12 @@
 
 
 class Agent:
-    """One agent: its chain, what it holds, and when its uplink is free."""
+    """One agent: its ring, what it holds, and when its uplink is free."""
 
     def __init__(self, name: str, held: set[bytes]):
         self.name = name
         self.held = held
-        self.chain = Chain(name, held)
+        self.ring = Ring(name, held)
         self.up_free_at = 0.0
         self.down_free_at = 0.0
         self.alive = True
@@ -34,8 +34,8 @@
 class Swarm:
     """Runs the agents until all that are alive hold everything."""
 
-    def __init__(self, count: int, chunks: int, holders: int = 0, chains: int = 1):
-        self.chains = chains
+    def __init__(self, count: int, chunks: int, holders: int = 0, connections: int = 48):
+        self.connections = connections
         self.digests = [b"%d" % n for n in range(chunks)]
         names = [f"a{n:02}" for n in range(count)]
         self.agents = {
@@ -55,12 +55,11 @@
 
     def run(self, limit_s: float = 60.0) -> float:
         """Returns the seconds until every living agent holds everything."""
-        for chain in split_chains([self.names], self.chains):
-            for name in chain:
-                for before in self.agents[name].chain.set_order(chain):
-                    self._link(self.agents[name], self.agents[before])
+        for name in self.names:
+            for before in self.agents[name].ring.set_order(self.names, self.connections):
+                self._link(self.agents[name], self.agents[before])
         for n, agent in enumerate(self.agents.values()):
-            agent.chain.want(self.digests)
+            agent.ring.want(self.digests)
             self.at(n * 0.001, lambda agent=agent: self._tick(agent))
         while self._events and not self._complete():
             self.now, _, function = heapq.heappop(self._events)
@@ -72,7 +71,7 @@
         agent = self.agents[name]
         agent.alive = False
         for other in self.agents.values():
-            other.chain.peer_down(name)
+            other.ring.peer_down(name)
 
     def _complete(self) -> bool:
         return all(
@@ -81,8 +80,8 @@
 
     def _link(self, one: Agent, other: Agent) -> None:
         if one is not other and one.alive and other.alive:
-            one.chain.peer_up(other.name)
-            other.chain.peer_up(one.name)
+            one.ring.peer_up(other.name)
+            other.ring.peer_up(one.name)
 
     def _tick(self, agent: Agent) -> None:
         if not agent.alive:
@@ -91,15 +90,15 @@
         news = [digest for digest in self.digests if digest in agent.held - agent.told]
         agent.told |= agent.held
         for other in self.agents.values():
-            if news and other.alive and agent.chain.is_behind(other.name):
+            if news and other.alive and agent.ring.is_behind(other.name):
                 self.at(
                     self.now + HOP_S,
-                    lambda other=other: other.chain.peer_has(agent.name, news, self.now),
+                    lambda other=other: other.ring.peer_has(agent.name, news, self.now),
                 )
         self.at(self.now + TICK_S, lambda: self._tick(agent))
 
     def _plan(self, agent: Agent) -> None:
-        for command in agent.chain.plan(self.now):
+        for command in agent.ring.plan(self.now):
             if isinstance(command, CancelFetch):
                 source = self.agents.get(command.source)
                 if source is not None and (agent.name, command.digest) in source.parked:
@@ -116,7 +115,7 @@
 
     def _from_origin(self, agent: Agent, digest: bytes) -> None:
         if self.origin_down:
-            agent.chain.refused(digest, ORIGIN, self.now)
+            agent.ring.refused(digest, ORIGIN, self.now)
             return
         self.origin_sent += 1
         self.origin_free_at = max(self.now, self.origin_free_at) + CHUNK_S / 2
@@ -132,14 +131,21 @@
         self._deliver(agent, digest, source.up_free_at, source.name)
 
     def _deliver(self, agent: Agent, digest: bytes, sent_at: float, source: str) -> None:
-        agent.down_free_at = max(sent_at, agent.down_free_at + CHUNK_S * agent.slow)
-        self.at(agent.down_free_at + HOP_S, lambda: self._arrive(agent, digest, source))
+        """Takes the downlink once the chunk has left its source."""
+
+        def sent() -> None:
+            begin_at = max(self.now - CHUNK_S * agent.slow, agent.down_free_at)
+            agent.down_free_at = begin_at + CHUNK_S * agent.slow
+            at = max(self.now, agent.down_free_at) + HOP_S
+            self.at(at, lambda: self._arrive(agent, digest, source))
+
+        self.at(sent_at, sent)
 
     def _arrive(self, agent: Agent, digest: bytes, source: str) -> None:
         if not agent.alive or (source != ORIGIN and not self.agents[source].alive):
             return
         agent.held.add(digest)
-        agent.chain.arrived(digest, self.now)
+        agent.ring.arrived(digest, self.now)
         if len(agent.held) == len(self.digests):
             agent.done_at = self.now
         for name, wanted in list(agent.parked):
