Tell added agents at once what is held here; do not ask for a manifest that is gone

After the final fault the manifest of version 1 was asked for 227 times and answered with 410. Change: a linked agent that is not known yet looks here for chunks, so it gets announcements. The first version is asked for only while it is loaded or the newest.

--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -81,8 +81,17 @@
             row.digests = digests
 
     def unknown(self) -> list[int]:
-        """Returns the versions whose manifest is needed."""
-        return [row.version for row in self._rows.values() if row.digests is None]
+        """Returns the versions whose manifest is needed.
+
+        The origin keeps only the last versions, so the first one is asked for only while it is in
+        use.
+        """
+        return [
+            row.version
+            for row in self._rows.values()
+            if row.digests is None
+            and (row.version != FIRST_VERSION or row.version in (self._loaded, self.newest))
+        ]
 
     def row(self, version: int) -> VersionRow | None:
         """Returns a version, or None."""
--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -195,8 +195,11 @@
         return self._behind[:1] == (peer_id,)
 
     def is_behind(self, peer_id: str) -> bool:
-        """Returns whether an agent looks to this one for chunks."""
-        return peer_id in self._behind
+        """Returns whether a linked agent looks to this one for chunks.
+
+        One that is not known here yet has linked itself because of its own, newer view of the ring.
+        """
+        return peer_id in self._behind or peer_id not in self._before
 
     @property
     def missing(self) -> int:
--- a/tests/stager/test_versions_and_loader.py
+++ b/tests/stager/test_versions_and_loader.py
@@ -69,6 +69,15 @@
         versions.set_loaded(0)
         assert versions.to_load().version == 1
 
+    def test_the_first_version_is_asked_for_only_while_it_is_in_use(self):
+        """Guards against endless requests for a manifest that the origin does not keep (incident)."""
+        versions = plan(set())
+        assert versions.unknown() == [1]
+        versions.declare(3)
+        assert versions.unknown() == [3]
+        versions.set_loaded(1)
+        assert versions.unknown() == [1, 3]
+
     def test_older_versions_are_forgotten(self):
         """Guards against memory that grows with each version."""
         versions = plan(set(ONE) | set(TWO), v1=ONE, v2=TWO)
--- a/tests/weights/test_ring.py
+++ b/tests/weights/test_ring.py
@@ -142,3 +142,11 @@
         ring.arrived(in_flight.pop(0), now)
         in_flight += [c.digest for c in ring.plan(now) if isinstance(c, FetchFromPeer)]
     assert len(in_flight) == RingLimits().least_window
+
+
+def test_an_agent_that_is_not_known_yet_looks_here():
+    """Guards against an added agent that waits until its neighbours have read the registry (incident)."""
+    ring = Ring("c", set())
+    ring.set_order(["a", "b", "c", "d", "e", "f", "g"], 48)
+    assert [name for name in "abdefg" if ring.is_behind(name)] == ["d", "e", "f"]
+    assert ring.is_behind("new")
