Send a stream that is held back elsewhere; say in a refusal what was short

Only streams that had begun were resumed. And a refusal did not say whether load, loads or versions were short. Change: a stream or idempotent request whose answer has not begun after 1.5 s goes elsewhere within the retry budget when the replica begins none any more, or began one sent 0.5 s later of its rank or lower, and only where another replica has room. The line of a refused request counts the replicas that each condition leaves over.

--- a/fescuechute/gateway/__init__.py
+++ b/fescuechute/gateway/__init__.py
@@ -1,7 +1,7 @@
 """The gateway: clients' HTTP in, routed straight to replicas. The daemon only composes."""
 
 from fescuechute.gateway._access import AccessControl, Allowed, Denied
-from fescuechute.gateway._choice import Choice, Chooser, Wanted
+from fescuechute.gateway._choice import Choice, Chooser, Shortage, Wanted
 from fescuechute.gateway._daemon import GatewayDaemon
 from fescuechute.gateway._dispatch import Dispatcher
 from fescuechute.gateway._forecast import first_event_s, reading_s, service_s, step_s
@@ -17,6 +17,7 @@
     "Denied",
     "Dispatcher",
     "GatewayDaemon",
+    "Shortage",
     "Transfer",
     "UpstreamRow",
     "UpstreamTable",
--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -46,6 +46,21 @@
     candidates: int
 
 
+@attrs.frozen
+class Shortage:
+    """Replicas of a service that each condition leaves over, in the order of the conditions."""
+
+    known: int
+    #: Reachable, and not asked before for the same request.
+    up: int
+    #: Hold a version that may be used, and do not load.
+    able: int
+    #: Have room for the rank.
+    free: int
+    #: Oldest version that may be used, 0 for any.
+    version: int
+
+
 class Chooser:
     """Chooses among the known replicas."""
 
@@ -65,24 +80,33 @@
 
     def choose(self, wanted: Wanted, now: float) -> Choice | None:
         """Returns the replica with the least expected time, or None when none can take it now."""
-        required = self._versions.required(wanted.model, now) if wanted.model else 0
-        rows = [
-            row for row in self._upstreams.of(wanted.service.name) if self._up(row, wanted, now)
-        ]
-        if wanted.service.engine is not None:
-            rows = [
-                row
-                for row in rows
-                if not row.loading and row.versions.get(wanted.model, -1) >= max(required, 1)
-            ]
-        rows = [row for row in rows if row.total < self._most(wanted)]
-        if not rows:
+        shortage, rows, required = self._candidates(wanted, now)
+        if not shortage.free:
             return None
         costs = {row.instance: self._cost(row, wanted, now) for row in rows}
         best = min(rows, key=lambda row: (costs[row.instance], self._rng.random()))
         version = best.versions.get(wanted.model) if required else None
         return Choice(best, costs[best.instance], version, len(rows))
 
+    def shortage(self, wanted: Wanted, now: float) -> Shortage:
+        """Returns how many replicas each condition leaves over, for the line about a refusal."""
+        return self._candidates(wanted, now)[0]
+
+    def _candidates(self, wanted: Wanted, now: float) -> tuple[Shortage, list[UpstreamRow], int]:
+        """Returns the counts, the replicas that can take an attempt, and the version that binds."""
+        required = self._versions.required(wanted.model, now) if wanted.model else 0
+        known = self._upstreams.of(wanted.service.name)
+        up = [row for row in known if self._up(row, wanted, now)]
+        able = up
+        if wanted.service.engine is not None:
+            able = [
+                row
+                for row in up
+                if not row.loading and row.versions.get(wanted.model, -1) >= max(required, 1)
+            ]
+        free = [row for row in able if row.total < self._most(wanted)]
+        return Shortage(len(known), len(up), len(able), len(free), required), free, required
+
     @staticmethod
     def _up(row: UpstreamRow, wanted: Wanted, now: float) -> bool:
         return now >= row.not_before and row.instance not in wanted.excluded
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 from random import Random
 
-from fescuechute.errors import Ran
+import attrs
+
+from fescuechute.errors import Ran, Reason
 from fescuechute.forwarding import OutboundRequest, UpstreamCall, UpstreamClient
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Chooser, Wanted
@@ -142,6 +144,8 @@
         row = attempt.choice.row
         now = self.now()
         row.in_flight -= 1
+        if not outcome:
+            row.began(attempt, transfer.allowed.rank, now)
         row.unanswered.pop(attempt, None)
         row.unread_tokens -= attempt.unread_tokens
         attempt.unread_tokens = 0
@@ -173,6 +177,11 @@
         if first_at is not None:
             self._telemetry.observe("first_event", rank, first_at - received_at)
         self._telemetry.observe("end", rank, now - received_at)
+        shortage = (
+            attrs.asdict(self._chooser.shortage(transfer.wanted(), now))
+            if reason == Reason.NO_UPSTREAM
+            else None
+        )
         self._telemetry.event(
             "request",
             id=transfer.meta.request_id,
@@ -185,6 +194,7 @@
             attempts=transfer.attempts,
             first_ms=None if first_at is None else round((first_at - received_at) * 1000),
             ms=round((now - received_at) * 1000),
+            shortage=shortage,
         )
 
     def _budget(self, service: str) -> RetryBudget:
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -146,9 +146,16 @@
         attempt = self._attempt
         if attempt is None or attempt.status or attempt.slow:
             return
-        if now - attempt.started_at >= SLOW_BEGIN_S:
-            attempt.slow = True
-            self._dispatch.attempt_slow(self, attempt)
+        if now - attempt.started_at < SLOW_BEGIN_S:
+            return
+        attempt.slow = True
+        self._dispatch.attempt_slow(self, attempt)
+        row = attempt.choice.row
+        held_back = row.holds_back(self.allowed.rank, attempt.started_at)
+        # Elsewhere it has to wait as well, so only a replica with room is worth a repeat.
+        if held_back and self._dispatch.choose(self.wanted()) and self._can_repeat():
+            self._give_up_attempt("held back")
+            self._send("held back")
 
     # Outcomes of attempts.
 
@@ -247,15 +254,18 @@
     def _can_repeat(self) -> bool:
         return self.repeatable and self._has_attempts() and self._dispatch.may_repeat(self)
 
-    def _send(self, cause: str, avoid: str = "") -> None:
-        wanted = Wanted(
+    def wanted(self, avoid: str = "") -> Wanted:
+        """Returns what the next attempt needs."""
+        return Wanted(
             self.service,
             self.meta.model,
             self.meta.prompt_tokens,
             self.allowed.rank,
             frozenset(self._tried) | ({avoid} if avoid else frozenset()),
         )
-        choice = self._dispatch.choose(wanted)
+
+    def _send(self, cause: str, avoid: str = "") -> None:
+        choice = self._dispatch.choose(self.wanted(avoid))
         if choice is None:
             reason = Reason.UPSTREAM_LOST if self.may_have_run else Reason.NO_UPSTREAM
             self._fail(502 if self.may_have_run else 503, reason)
@@ -301,7 +311,7 @@
         if self.first_event_at is None:
             self.first_event_at = now
         row = attempt.choice.row
-        row.unanswered.pop(attempt, None)
+        row.began(attempt, self.allowed.rank, now)
         row.unread_tokens -= attempt.unread_tokens
         attempt.unread_tokens = 0
         if self.repeatable:
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -16,6 +16,9 @@
 FAILURE_WEIGHT = 0.2
 #: Seconds after the return of the store in which an entry that lapsed may come back.
 RETURN_S = 2.0
+#: Seconds by which a request was sent before another of its rank or a lower one that began first, from
+#: which on it counts as lost: engines begin requests of one rank in their order.
+OVERTAKEN_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -30,6 +33,10 @@
     unread_tokens: int = 0
     #: Unix seconds at which each attempt without the beginning of an answer was sent, oldest first.
     unanswered: dict[object, float] = attrs.field(factory=dict)
+    #: Unix seconds at which an answer last began, and by rank when the newest of those that have begun
+    #: was sent.
+    begun_at: float = 0.0
+    begun_sent_at: dict[int, float] = attrs.field(factory=dict)
     #: Requests of all gateways there, from the last report, less our own at that time.
     others: int = 0
     #: Requests of this gateway since the last report, and the other gateways that report shares.
@@ -70,6 +77,25 @@
         """Prompt tokens believed to be unread there, of all gateways."""
         return self.unread_tokens * (1 + self.other_gateways)
 
+    def began(self, attempt: object, rank: int, now: float) -> None:
+        """The answer to an attempt begins."""
+        sent_at = self.unanswered.pop(attempt, None)
+        if sent_at is not None:
+            self.begun_at = now
+            self.begun_sent_at[rank] = max(sent_at, self.begun_sent_at.get(rank, 0.0))
+
+    def holds_back(self, rank: int, sent_at: float) -> bool:
+        """Returns whether a request that has not begun waits for more than its turn.
+
+        Args:
+          rank: Its rank.
+          sent_at: Unix seconds at which it was sent.
+        """
+        overtaken = any(
+            at >= sent_at + OVERTAKEN_S for begun, at in self.begun_sent_at.items() if begun >= rank
+        )
+        return overtaken or 0.0 < self.begun_at < sent_at
+
     def unanswered_s(self, now: float) -> float:
         """Returns for how long the oldest attempt has waited for the beginning of its answer."""
         return now - next(iter(self.unanswered.values()), now)
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -13,7 +13,7 @@
     UpstreamState,
 )
 from fescuechute.checks import Address
-from fescuechute.gateway import Chooser, UpstreamTable, VersionTable, Wanted
+from fescuechute.gateway import Chooser, Shortage, UpstreamTable, VersionTable, Wanted
 
 PROFILE = EngineProfile(
     16,
@@ -137,3 +137,16 @@
     assert case.choose(now=1.0)[0] == "b"
     del case.table.get("a").unanswered["an attempt"]
     assert case.choose(now=1.0)[0] == "a"
+
+
+def test_a_refusal_says_what_was_short():
+    """Guards against refusals whose cause on-call engineers cannot tell: load, loads, or versions."""
+    case = Case(a=1, b=1, c=1, d=1)
+    load(case, "a", running=0, loading=True)
+    load(case, "b", running=20)
+    load(case, "c", running=0)
+    case.table.get("d").unreachable(0.0)
+    wanted = Wanted(ENGINES, "m", 800, 0, frozenset())
+    assert case.chooser.shortage(wanted, 0.0) == Shortage(4, 3, 2, 1, 0)
+    case.versions.declare("m", 2, since=-10.0)
+    assert case.chooser.shortage(wanted, 0.0) == Shortage(4, 3, 0, 0, 2)
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -204,3 +204,44 @@
     case.wait(0.2)
     assert case.slow == ["u1"]
     assert not case.calls[0].cancelled, "it may still answer"
+
+
+class TestHeldBack:
+    """A stream that a replica does not begin although it begins others, or none any more."""
+
+    @pytest.mark.parametrize(
+        ("name", "begun", "moves"),
+        [
+            ("none begins any more", [(0, -2.0, -1.0)], True),
+            ("one sent later begins", [(0, 0.6, 1.0)], True),
+            ("a more urgent one sent later begins", [(-1, 0.6, 1.0)], False),
+            ("one sent before begins", [(0, -1.0, 1.0)], False),
+        ],
+    )
+    def test_goes_elsewhere_only_when_its_turn_is_over(self, name, begun, moves):
+        """Guards against both: requests lost at a replica, and repeats of those that only wait."""
+        case = Case(Repeat.STREAM, resumable=True)
+        row = case.rows[0]
+        for rank, sent_s, begun_s in begun:
+            row.unanswered["other"] = case.time + sent_s
+            row.began("other", rank, case.time + begun_s)
+        case.wait(1.6)
+        assert case.calls[0].cancelled is moves, name
+        assert len(case.calls) == 1 + moves
+        if moves:
+            case.calls[1].streams(event(1))
+            assert case.client.body == event(1)
+
+    def test_stays_where_no_other_replica_has_room(self):
+        """Guards against a refusal in place of an answer that may still come."""
+        case = Case(Repeat.STREAM, resumable=True, upstreams=1)
+        case.rows[0].begun_at = case.time - 1.0
+        case.wait(1.6)
+        assert not case.calls[0].cancelled
+
+    def test_what_must_not_be_repeated_stays(self):
+        """Guards against a request that runs twice."""
+        case = Case(Repeat.ONCE)
+        case.rows[0].begun_at = case.time - 1.0
+        case.wait(1.6)
+        assert len(case.calls) == 1
