--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -218,16 +218,23 @@
 
     def plan(self, now: float) -> list[Command]:
         """Returns the commands that are due."""
-        limits = self._limits
         if self._wanted_at is None:
             self._begin(now)
         self._note_times(now)
         commands, self._cancels = self._cancels, []
         commands += self._expire(now)
+        commands += self._fetch_due(now)
+        return commands + self._ask_ahead(now)
+
+    def _fetch_due(self, now: float) -> list[Command]:
+        """Fetches what agents whose turn it is hold, and what is drawn from the origin here."""
+        limits = self._limits
+        commands: list[Command] = []
         usable = [peer for peer in self._linked() if now >= peer.avoid_until]
         turn, origin_next = self._turn(usable, now)
         window = self._window(now)
         if all(self._has_all(peer) for peer in turn):
+            # Several sources share the window, which is what the own link bears.
             window = -(-window // max(1, len(turn)))
         busy = Counter(f.source for f in self._fetches.values() if f.started_at < float("inf"))
         for digest, distance in self._missing.items():
@@ -248,7 +255,7 @@
                 busy[source] += 1
                 self._fetches[digest] = _Fetch(source, now)
                 commands.append(_fetch(source, digest, now + limits.fetch_s))
-        return commands + self._ask_ahead(now)
+        return commands
 
     def _note_times(self, now: float) -> None:
         for peer in self._peers.values():
