--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -135,8 +135,9 @@
         if now < self._accept_until and now < self._close_by:
             return
         self.callers.stop_listening()
+        # Whatever came on a kept connection from here on might not end within the grace.
+        self.callers.close_idle()
         if self.callers.busy == 0:
-            self.callers.close_idle()
             self.close("drained")
         elif now >= self._close_by:
             self.close("grace is over")
@@ -146,6 +147,9 @@
     def _handle(self, request: CallerRequest) -> None:
         now = self.clock.now()
         meta = decode_request(request.headers)
+        if now >= self._accept_until:
+            self._deny(request, meta.request_id, Denied(Reason.NOT_READY, "stopping"), now)
+            return
         host = (header(request.headers, b"host") or b"").decode("latin-1").partition(":")[0]
         verdict = self.access.judge(host, request.path, meta, self.operators.confirmed_at, now)
         if isinstance(verdict, Denied):
--- a/tests/platform/test_gateway_process.py
+++ b/tests/platform/test_gateway_process.py
@@ -154,6 +154,24 @@
     assert deployment.lines()[-1]["reason"] == "drained"
 
 
+def test_a_planned_stop_closes_kept_connections_before_its_grace_ends(deployment):
+    """Guards against requests that are taken late in a stop and cut at its end (hunt, LOST)."""
+    deployment.start()
+    idle = deployment.connect()
+    assert deployment.send(conn=idle).status == 200
+    for replica in deployment.replicas:
+        deployment.faults(replica, delay_s=2.4)
+    os.kill(deployment.gateway.pid, signal.SIGTERM)
+    until(lambda: not deployment.is_ready())
+    until(lambda: deployment.send(request_id="slow").status == 200)
+    slow = threading.Thread(target=lambda: deployment.send(request_id="slower"))
+    slow.start()
+    idle.sock.settimeout(2.0)
+    assert idle.sock.recv(1) == b""
+    assert slow.is_alive(), "a request that is under way is not cut"
+    slow.join(10)
+
+
 def test_settings_that_change_are_read_again(deployment):
     """Guards against a file that changes without a signal, and against a broken one."""
     deployment.start()
