Give old versions nothing that would begin too late, and take back what has not begun

Change: an engine of an old version gets only what is expected to begin before the bound; a stream that has not begun is taken back shortly before it and goes elsewhere. VersionTable.newest, which served one test only, is gone; the test asks what binds instead.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -99,14 +99,24 @@
         up = [row for row in known if self._up(row, wanted, now)]
         able = up
         if wanted.service.engine is not None:
-            able = [
-                row
-                for row in up
-                if not row.loading and row.versions.get(wanted.model, -1) >= max(required, 1)
-            ]
+            able = [row for row in up if not row.loading and self._may_begin(row, wanted, now)]
         free = [row for row in able if row.total < self._most(wanted)]
         return Shortage(len(known), len(up), len(able), len(free), required), free, required
 
+    def take_back_at(self, row: UpstreamRow, model: str) -> float:
+        """Returns the unix seconds at which what has not begun at a replica is taken back from it."""
+        return (
+            self._versions.take_back_at(model, row.versions.get(model, 0))
+            if model
+            else float("inf")
+        )
+
+    def _may_begin(self, row: UpstreamRow, wanted: Wanted, now: float) -> bool:
+        """Returns whether the version of an engine will still do when a request begins there."""
+        begins_at = now + self._cost(row, wanted, now)
+        required = self._versions.required(wanted.model, begins_at)
+        return row.versions.get(wanted.model, -1) >= max(required, 1)
+
     @staticmethod
     def _up(row: UpstreamRow, wanted: Wanted, now: float) -> bool:
         return now >= row.not_before and row.instance not in wanted.excluded
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -127,6 +127,10 @@
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
         return share * max(0.0, transfer.deadline - self.now())
 
+    def take_back_at(self, transfer: Transfer, attempt: Attempt) -> float:
+        """Returns the unix seconds at which an attempt that has not begun is taken back."""
+        return self._chooser.take_back_at(attempt.choice.row, transfer.meta.model)
+
     def attempt_slow(self, transfer: Transfer, attempt: Attempt) -> None:
         """Holds it against a replica that an answer has not begun in time."""
         row = attempt.choice.row
@@ -156,7 +160,7 @@
         if kind in ("not_connected", "misdirected"):
             row.unreachable(now)
             self._client.drop(row.instance)
-        elif kind not in ("client gone", "timeout", "refused"):
+        elif kind not in ("client gone", "timeout", "refused", "version"):
             row.failed()
         self._telemetry.event(
             "attempt.failed",
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -58,6 +58,9 @@
     def retry_after_s(self, transfer: Transfer) -> float:
         """Returns when a client should come back."""
 
+    def take_back_at(self, transfer: Transfer, attempt: Attempt) -> float:
+        """Returns the unix seconds at which an attempt that has not begun is taken back."""
+
     def attempt_slow(self, transfer: Transfer, attempt: Attempt) -> None:
         """The answer to an attempt has not begun in time."""
 
@@ -144,7 +147,13 @@
 
     def _check_begin(self, now: float) -> None:
         attempt = self._attempt
-        if attempt is None or attempt.status or attempt.slow:
+        if attempt is None or attempt.status:
+            return
+        if self.repeatable and now >= self._dispatch.take_back_at(self, attempt):
+            self._give_up_attempt("version")
+            self._after_failure("version")
+            return
+        if attempt.slow:
             return
         if now - attempt.started_at < SLOW_BEGIN_S:
             return
--- a/fescuechute/gateway/_versions.py
+++ b/fescuechute/gateway/_versions.py
@@ -7,6 +7,9 @@
 #: Seconds before the end of the bound from which on older versions get no new requests. A request
 #: may wait that long at a replica before it begins.
 MARGIN_S = 0.6
+#: Seconds after that at which requests that have not begun on an older version are taken back from it.
+#: What is left of the margin is for the way to the replica, which drops a request whose connection ends.
+TAKE_BACK_S = 0.15
 
 
 @attrs.frozen
@@ -41,10 +44,12 @@
         known.append(_Declared(version, since + self._bound_s - MARGIN_S))
         return True
 
-    def newest(self, model: str) -> int | None:
-        """Returns the newest declared version, or None."""
-        known = self._declared.get(model)
-        return known[-1].version if known else None
+    def take_back_at(self, model: str, version: int) -> float:
+        """Returns the unix seconds at which what has not begun on a version must not begin any more."""
+        bounds = [
+            item.binding_at for item in self._declared.get(model, ()) if item.version > version
+        ]
+        return min(bounds, default=float("inf")) + TAKE_BACK_S
 
     def required(self, model: str, now: float) -> int:
         """Returns the oldest version on which a request may begin now, 0 for any."""
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -87,7 +87,7 @@
     versions = VersionTable(8.0)
     assert versions.declare("m", 3, 0.0)
     assert not versions.declare("m", 2, 5.0)
-    assert versions.newest("m") == 3
+    assert versions.required("m", 100.0) == 3
     assert versions.required("m", 100.0) == 3
 
 
@@ -150,3 +150,21 @@
     assert case.chooser.shortage(wanted, 0.0) == Shortage(4, 3, 2, 1, 0)
     case.versions.declare("m", 2, since=-10.0)
     assert case.chooser.shortage(wanted, 0.0) == Shortage(4, 3, 0, 0, 2)
+
+
+def test_an_old_version_gets_nothing_that_would_begin_too_late():
+    """Guards against a request that waits at a full engine and begins on old weights (hunt, VERSION)."""
+    case = Case(a=1)
+    case.versions.declare("m", 2, since=10.0)
+    assert case.choose(now=16.9) == ("a", None)
+    case.table.get("a").unanswered["an attempt"] = 16.0
+    assert case.choose(now=16.9) is None
+
+
+def test_what_has_not_begun_is_taken_back_before_the_bound():
+    """Guards against both: old weights behind the bound, and newer ones that give requests back."""
+    case = Case(a=1, b=2)
+    case.versions.declare("m", 2, since=10.0)
+    rows = {name: case.table.get(name) for name in "ab"}
+    assert 17.4 < case.chooser.take_back_at(rows["a"], "m") < 18.0
+    assert case.chooser.take_back_at(rows["b"], "m") == float("inf")
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -245,3 +245,25 @@
         case.rows[0].begun_at = case.time - 1.0
         case.wait(1.6)
         assert len(case.calls) == 1
+
+
+def test_a_stream_that_has_not_begun_is_taken_back_before_its_version_ends():
+    """Guards against a request that waits at an engine and begins on old weights (hunt, VERSION)."""
+    case = Case(Repeat.STREAM, resumable=True)
+    case.take_back = case.time + 0.5
+    case.wait(0.4)
+    assert not case.calls[0].cancelled
+    case.wait(0.2)
+    assert case.calls[0].cancelled
+    case.take_back = float("inf")
+    case.calls[1].streams(event(1))
+    assert case.client.body == event(1)
+
+
+def test_a_stream_that_has_begun_stays_when_its_version_ends():
+    """Guards against answers that are broken off: what has begun may end on its version."""
+    case = Case(Repeat.STREAM, resumable=True)
+    case.calls[0].streams(event(1))
+    case.take_back = case.time
+    case.wait(0.2)
+    assert not case.calls[0].cancelled
--- a/tests/gateway/transfers.py
+++ b/tests/gateway/transfers.py
@@ -85,6 +85,8 @@
         #: Replicas whose answer did not begin in time.
         self.slow: list[str] = []
         self.results = []
+        #: Unix seconds at which what has not begun is taken back.
+        self.take_back = float("inf")
         self.budget = budget
         self.client = Client()
         self.client.end_stream = self.client.end_stream
@@ -125,6 +127,9 @@
     def retry_after_s(self, transfer):
         return 0.5
 
+    def take_back_at(self, transfer, attempt):
+        return self.take_back
+
     def attempt_slow(self, transfer, attempt):
         self.slow.append(attempt.row_id)
 
