Log source, size and transfer time of a configuration's response

Callers saw 404 for routes of an acknowledged configuration. The log told when a gateway had applied it, but not whether the time had gone by before the read, in the transfer, or afterwards.

Change: HTTP results carry the seconds from their first byte to the last, feeds keep them with the size, and the line `configuration` of a gateway shows `source`, `size` and `transfer_ms`.

--- a/fescuechute/feeds/__init__.py
+++ b/fescuechute/feeds/__init__.py
@@ -5,6 +5,7 @@
 
 from fescuechute.feeds._feed import Feed, FeedSettings
 from fescuechute.feeds._outcomes import (
+    Delivery,
     Failure,
     KeyedLog,
     KeyedRecord,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "Delivery",
     "Failure",
     "Feed",
     "FeedSettings",
--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -9,6 +9,7 @@
 import attrs
 
 from fescuechute.feeds._outcomes import (
+    Delivery,
     Failure,
     KeyedLog,
     KeyedRecord,
@@ -100,6 +101,8 @@
         self.confirmed_at: float | None = None
         #: Unix seconds after which the records being handled were appended; None if unknown.
         self.earliest_appended_at: float | None = None
+        #: How the latest response with records arrived.
+        self.delivery = Delivery()
         #: Number of calls started.
         self.calls = 0
 
@@ -158,6 +161,7 @@
             self._snapshot_started_at = self._call_started_at
             self._snapshot_keys.clear()
         self.earliest_appended_at = self.confirmed_at
+        self.delivery = outcome.delivery
         for record in outcome.records:
             self._snapshot_keys.add(record.key)
             self._on_record(record)
@@ -173,6 +177,7 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         self.earliest_appended_at = self._appended_after()
+        self.delivery = outcome.delivery
         for record in outcome.records:
             self._on_record(record)
             self._next_offset = record.offset + 1
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -18,6 +18,18 @@
     value: bytes | None
 
 
+@attrs.frozen
+class Delivery:
+    """How a response arrived; logged with the records that it delivered."""
+
+    #: Process that sent it: `store`, or the address of a peer.
+    source: str = "store"
+    #: Size of the response in bytes.
+    size: int = 0
+    #: Seconds from the first byte of the response to its last.
+    transfer_s: float = 0.0
+
+
 @attrs.frozen
 class SnapshotPage:
     """One page of a snapshot, which holds the newest record of each key."""
@@ -27,6 +39,7 @@
     has_more: bool
     #: Offset after the last record of the topic.
     end: int
+    delivery: Delivery = Delivery()
 
 
 @attrs.frozen
@@ -36,6 +49,7 @@
     records: tuple[KeyedRecord, ...]
     #: Offset after the last record of the topic.
     end: int
+    delivery: Delivery = Delivery()
 
 
 @attrs.frozen
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -215,6 +215,9 @@
                 offset=offset,
                 routes=len(configuration.routes),
                 services=len(configuration.services),
+                source=self.operator_feed.delivery.source,
+                size=self.operator_feed.delivery.size,
+                transfer_ms=round(self.operator_feed.delivery.transfer_s * 1000),
             )
 
     def _apply_version_declaration(self, declared: VersionDeclaration, offset: int) -> None:
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -39,6 +39,8 @@
     sent: bool
     #: Whether the call failed because no data arrived within the silence timeout.
     silent: bool = False
+    #: Seconds from the first received byte to the end of the call.
+    transfer_s: float = 0.0
 
     @property
     def ok(self) -> bool:
@@ -76,6 +78,8 @@
     status: int = 0
     body: bytearray = attrs.field(factory=bytearray)
     sent: bool = False
+    #: Unix seconds at which the first byte of the response arrived, or None before.
+    first_byte_at: float | None = None
     #: Whether the connection was taken from the idle pool.
     reused: bool = False
     done: bool = False
@@ -211,7 +215,10 @@
     def _on_data(self, call: HttpCall, data: bytes) -> None:
         if call.done:
             return
-        call.silence_deadline = self._clock.now() + call.idle_timeout_s
+        now = self._clock.now()
+        call.silence_deadline = now + call.idle_timeout_s
+        if call.first_byte_at is None:
+            call.first_byte_at = now
         assert call.protocol is not None
         call.protocol.receive_data(data)
         self._read_events(call)
@@ -253,7 +260,8 @@
             pool.append((self._clock.now() + _IDLE_TIMEOUT_S, conn))
         else:
             conn.close()
-        call.on_end(HttpResult(call.status, bytes(call.body), "", sent=True))
+        transfer_s = 0.0 if call.first_byte_at is None else self._clock.now() - call.first_byte_at
+        call.on_end(HttpResult(call.status, bytes(call.body), "", True, transfer_s=transfer_s))
 
     def _on_closed(self, call: HttpCall, reason: str) -> None:
         if call.done:
--- a/fescuechute/platform/_store.py
+++ b/fescuechute/platform/_store.py
@@ -11,6 +11,7 @@
 
 from fescuechute.checks import Address
 from fescuechute.feeds import (
+    Delivery,
     Failure,
     KeyedRecord,
     Outcome,
@@ -76,7 +77,7 @@
             KeyedRecord(item["offset"], item["key"], base64.b64decode(item["value"]))
             for item in body["items"]
         )
-        return SnapshotPage(records, bool(body["has_more"]), int(body["end"]))
+        return SnapshotPage(records, bool(body["has_more"]), int(body["end"]), _delivery(result))
     except (KeyError, TypeError, ValueError, binascii.Error) as exc:
         return Failure(f"malformed page: {type(exc).__name__}: {exc}")
 
@@ -87,12 +88,12 @@
     if not result.ok:
         return _failure(result)
     try:
-        return _parse_batch(result.body, offset)
+        return _parse_batch(result.body, offset, _delivery(result))
     except (struct.error, IndexError, UnicodeDecodeError) as exc:
         return Failure(f"malformed records: {type(exc).__name__}: {exc}")
 
 
-def _parse_batch(body: bytes, offset: int) -> RecordBatch:
+def _parse_batch(body: bytes, offset: int, delivery: Delivery) -> RecordBatch:
     end, _first_retained = _READ_HEADER.unpack_from(body)
     records: list[KeyedRecord] = []
     position = _READ_HEADER.size
@@ -105,7 +106,11 @@
         # An empty value is a tombstone: it deletes the key.
         records.append(KeyedRecord(offset + len(records), key, value or None))
         position += length
-    return RecordBatch(tuple(records), end)
+    return RecordBatch(tuple(records), end, delivery)
+
+
+def _delivery(result: HttpResult) -> Delivery:
+    return Delivery(size=len(result.body), transfer_s=result.transfer_s)
 
 
 def _failure(result: HttpResult) -> Failure:
