--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -1,7 +1,8 @@
 """The platform's metadata store: keyed topics with snapshots and long polling.
 
 A test writes records with `PUT /records/TOPIC/KEY`. An empty body deletes the key.
-Faults: `down` (503 for every call), `silent` (no response), `turn_away` (429 for every call).
+Faults: `down` (503 for every call), `silent` (no response), `turn_away` (429 for every call),
+`link_bytes_s` (rate of the link that all responses to reads share; 0 for no limit).
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import asyncio
 import base64
 import contextlib
+import json
 import struct
 from collections import defaultdict
 
@@ -16,6 +18,9 @@
 
 from standins._server import Faults, make_app, make_parser, run
 
+#: Bytes of one response that cross a limited link before it is the turn of the next response.
+_LINK_QUANTUM_BYTES = 4096
+
 
 class Topic:
     """One keyed topic: its records by offset, and an event that is set on each append."""
@@ -36,13 +41,14 @@
     def __init__(self, faults: Faults):
         self._faults = faults
         self._topics: dict[str, Topic] = defaultdict(Topic)
+        self._link = asyncio.Lock()
 
     async def put(self, request: web.Request) -> web.Response:
         topic = self._topics[request.match_info["topic"]]
         topic.append(request.match_info["key"], await request.read())
         return web.json_response({"end": len(topic.records)})
 
-    async def newest(self, request: web.Request) -> web.Response:
+    async def newest(self, request: web.Request) -> web.StreamResponse:
         await self._apply_faults()
         topic = self._topics[request.query["topic"]]
         newest = {key: (offset, value) for offset, (key, value) in enumerate(topic.records)}
@@ -52,9 +58,10 @@
             for key, (offset, value) in sorted(newest.items())
             if value and key > after
         ]
-        return web.json_response({"items": items, "has_more": False, "end": len(topic.records)})
+        page = {"items": items, "has_more": False, "end": len(topic.records)}
+        return await self._respond(request, json.dumps(page).encode())
 
-    async def read(self, request: web.Request) -> web.Response:
+    async def read(self, request: web.Request) -> web.StreamResponse:
         await self._apply_faults()
         topic = self._topics[request.query["topic"]]
         start = int(request.query["from"])
@@ -67,7 +74,20 @@
         for key, value in topic.records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
-        return web.Response(body=body)
+        return await self._respond(request, body)
+
+    async def _respond(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), _LINK_QUANTUM_BYTES):
+            quantum = body[start : start + _LINK_QUANTUM_BYTES]
+            if self._faults["link_bytes_s"]:
+                async with self._link:
+                    await asyncio.sleep(len(quantum) / self._faults["link_bytes_s"])
+            await response.write(quantum)
+        await response.write_eof()
+        return response
 
     async def _apply_faults(self) -> None:
         if self._faults["silent"]:
@@ -79,7 +99,7 @@
 def main() -> None:
     """Runs the stand-in until it is terminated."""
     args = make_parser(__doc__).parse_args()
-    faults = Faults(down=False, silent=False, turn_away=False)
+    faults = Faults(down=False, silent=False, turn_away=False, link_bytes_s=0)
     store = Store(faults)
     app = make_app(faults, ("/fescuechute/",))
     app.router.add_put("/records/{topic}/{key:.+}", store.put)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,14 +6,21 @@
 import itertools
 import json
 import os
+import socket
+import threading
 import time
+from collections import Counter
 from typing import Any
 
+from fescuechute.checks import Address
+from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.wire import FrameDecoder, encode
 from tests.harness import Fleet
 
 #: Timeout of a wait in seconds; longer than every bound in the settings below.
 WAIT_S = 10.0
 HOST = "a.example"
+PEER_PORT = 17700
 #: Loopback addresses for the gateways of this test process, which all use the same ports.
 _LOOPBACK_IPS = (
     f"127.{os.getpid() >> 8 & 127}.{os.getpid() & 255}.{n}" for n in itertools.count(2)
@@ -29,11 +36,41 @@
         self.body = response.read()
 
 
+class StagerStandIn:
+    """Answers the greetings of gateways on the VM of an engine, so that they know each other."""
+
+    def __init__(self):
+        self.ip = next(_LOOPBACK_IPS)
+        self.greeted: Counter[str] = Counter()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((self.ip, PEER_PORT))
+        self._reporter = LoadReporter(
+            Address(self.ip, 1), lambda to, msg: self._sock.sendto(encode(msg), to)
+        )
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def close(self) -> None:
+        # An empty datagram ends the loop of the thread.
+        self._sock.sendto(b"", (self.ip, PEER_PORT))
+        self._thread.join(WAIT_S)
+        self._sock.close()
+
+    def _serve(self) -> None:
+        while data := self._sock.recv(65_507):
+            for msg in FrameDecoder().feed(data):
+                self._reporter.receive(msg, time.time())
+                self.greeted[msg.process_id] += 1
+
+
 class Deployment:
-    """One gateway, a store and replicas."""
+    """Gateways, a store and replicas."""
 
-    def __init__(self, fleet: Fleet, directory, replicas: int = 2):
-        self._ip = next(_LOOPBACK_IPS)
+    def __init__(self, fleet: Fleet, directory, replicas: int = 2, gateways: int = 1):
+        self._ips = [next(_LOOPBACK_IPS) for _ in range(gateways)]
+        self._ip = self._ips[0]
         self._fleet = fleet
         self._version = 0
         self.store = fleet.spawn_module("standins.platform.store", name="store")
@@ -42,10 +79,20 @@
             for n in range(replicas)
         ]
         self._settings = directory / "node.json"
-        self._settings.write_text(json.dumps(self._node_settings()))
-        self.gateway = fleet.spawn_module(
-            "fescuechute", "gateway", "--settings", str(self._settings), name="gateway"
-        )
+        self.gateways = []
+        for number, ip in enumerate(self._ips):
+            settings = directory / f"node-{number}.json" if number else self._settings
+            settings.write_text(json.dumps(self._node_settings(ip, f"front-{number + 1}")))
+            self.gateways.append(
+                fleet.spawn_module(
+                    "fescuechute",
+                    "gateway",
+                    "--settings",
+                    str(settings),
+                    name=f"gateway-{number}" if number else "gateway",
+                )
+            )
+        self.gateway = self.gateways[0]
 
     def write_settings(self, **changes: Any) -> None:
         """Rewrites the settings file of the gateway."""
@@ -66,8 +113,16 @@
         """Removes the registry entry of a replica."""
         self._call(self.store.port, "PUT", f"/records/keyed.servers/i-{index}")
 
-    def configure(self, keys: tuple[str, ...] = ("k1",), **changes: Any) -> None:
-        """Writes a new version of the configuration."""
+    def register_engine(self, ip: str) -> None:
+        """Writes the registry entry of an engine, which gets no requests in these tests."""
+        entry = {"service": "lm", "address": f"{ip}:1", "zone": "z", "state": "ready"}
+        entry["models"] = [{"name": "m", "version": 1}]
+        self.put_record("keyed.servers", "i-engine", entry)
+
+    def configure(
+        self, keys: tuple[str, ...] = ("k1",), added_routes: int = 0, **changes: Any
+    ) -> None:
+        """Writes a new version of the configuration; added routes are `/added0/` and so on."""
         self._version += 1
         route = {
             "name": "r",
@@ -85,7 +140,11 @@
         stream = {**route, "path_prefix": "/s/", "kind": "streaming", "can_resume": True}
         body = {
             "version": self._version,
-            "routes": [route, stream],
+            "routes": [
+                route,
+                stream,
+                *({**route, "path_prefix": f"/added{n}/"} for n in range(added_routes)),
+            ],
             "services": [{"name": "app", "health_path": "/health", "max_conns": 100}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
             "tenants": [{"name": "taller", "api_keys": list(keys)}],
@@ -112,7 +171,10 @@
 
     def is_ready(self) -> bool:
         try:
-            return self.get(self.ready_port, "/fescuechute/ready").status == 200
+            return all(
+                self.get(self.ready_port, "/fescuechute/ready", ip).status == 200
+                for ip in self._ips
+            )
         except OSError:
             return False
 
@@ -124,13 +186,13 @@
     def ready_port(self) -> int:
         return 18002
 
-    def get(self, port: int, path: str) -> Answer:
-        conn = http.client.HTTPConnection(self._ip, port, timeout=WAIT_S)
+    def get(self, port: int, path: str, ip: str = "") -> Answer:
+        conn = http.client.HTTPConnection(ip or self._ip, port, timeout=WAIT_S)
         conn.request("GET", path)
         return Answer(conn.getresponse())
 
-    def connect(self) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection(self._ip, self.client_port, timeout=WAIT_S)
+    def connect(self, gateway: int = 0) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(self._ips[gateway], self.client_port, timeout=WAIT_S)
 
     def send(self, path="/a/x", key="k1", body=b"body", request_id="9c41", host=HOST, conn=None):
         """Sends a client request and returns the response."""
@@ -142,9 +204,9 @@
         conn.request("POST", path, body=body, headers=headers)
         return Answer(conn.getresponse())
 
-    def log_lines(self) -> list[dict[str, Any]]:
-        """Returns the log lines of the gateway."""
-        text = self.gateway.stdout.read_text()
+    def log_lines(self, gateway: int = 0) -> list[dict[str, Any]]:
+        """Returns the log lines of a gateway."""
+        text = self.gateways[gateway].stdout.read_text()
         return [json.loads(line) for line in text.splitlines()]
 
     def wait_for_line(self, event: str, **fields: Any) -> dict[str, Any]:
@@ -157,16 +219,16 @@
         wait_until(lambda: bool(matching()))
         return matching()[0]
 
-    def _node_settings(self) -> dict[str, Any]:
-        ip = self._ip
+    def _node_settings(self, ip: str = "", node: str = "front-1") -> dict[str, Any]:
+        ip = ip or self._ip
         return {
-            "node_name": "front-1",
+            "node_name": node,
             "ip": ip,
             "zone": "z",
             "region": "r",
             "zones": {"z": "r"},
             "listen_addrs": {"front": f"{ip}:18005", "ready_addr": f"{ip}:18002"},
-            "port_range": [17700, 17715],
+            "port_range": [PEER_PORT, PEER_PORT + 15],
             "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0},
             "bounds": {
                 "drain_ms": 2000,
