Pass the operators' records on within a region

Cause: every gateway and stager reads each record of the operators' topic from the store. Behind a link between two regions are 20 of them, so a configuration of 288 KB becomes 5.8 MB on a link of 12 Mbit/s. Calls that got no byte for 2.5 s failed and read it again from the start, which added copies. The class: a fan-out to every VM over a link that all of them share.

All gateways of both regions are late together, none in the store's.

Change: two gateways of a region, its readers, read from the store, and the other gateways and the stagers read from these, compressed (22 KB instead of 288). Relays answer only while they get records from the store themselves, and date them by the arrival of the call. A process without a current relay reads from the store; a reader that the store rejects reads from the other one. `source.failed` tells when.

Why it works: two copies cross the link instead of one for each VM, whatever their number, and a slow link does not make waiting processes read from the store while their reader still receives.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -9,6 +9,7 @@
 import attrs
 
 from fescuechute.feeds._outcomes import (
+    STORE_SOURCE,
     Delivery,
     Failure,
     KeyedLog,
@@ -90,7 +91,7 @@
         self._last_page_key = ""
         #: End offset of the topic as of the first page; None outside a snapshot.
         self._snapshot_end: int | None = None
-        self._snapshot_started_at = 0.0
+        self._snapshot_confirmed_at = 0.0
         self._snapshot_keys: set[str] = set()
         #: Unix seconds at which the latest call was started.
         self._call_started_at = 0.0
@@ -111,6 +112,11 @@
         """Whether a snapshot was read completely and reading continues from it."""
         return self._next_offset is not None
 
+    @property
+    def next_offset(self) -> int | None:
+        """Offset after the last known record, or None before a snapshot is complete."""
+        return self._next_offset
+
     def set_poll_interval(self, min_interval_s: float) -> None:
         """Changes the shortest time between calls; a reduction also applies to the next call."""
         if min_interval_s < self._settings.min_interval_s:
@@ -158,7 +164,7 @@
             # Later pages reflect later states of the topic, so everything appended since the first
             # page is read again after the snapshot.
             self._snapshot_end = outcome.end
-            self._snapshot_started_at = self._call_started_at
+            self._snapshot_confirmed_at = self._call_started_at + outcome.confirmed_after_s
             self._snapshot_keys.clear()
         self.earliest_appended_at = self.confirmed_at
         self.delivery = outcome.delivery
@@ -170,27 +176,35 @@
             self._next_call_at = self._now()
             return
         self._next_offset = self._snapshot_end
-        self.confirmed_at = self._snapshot_started_at
+        self._confirm(self._snapshot_confirmed_at)
         self._last_page_key, self._snapshot_end = "", None
         self._on_snapshot(frozenset(self._snapshot_keys))
 
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
-        self.earliest_appended_at = self._appended_after()
+        self.earliest_appended_at = self._appended_after(outcome)
         self.delivery = outcome.delivery
         for record in outcome.records:
             self._on_record(record)
             self._next_offset = record.offset + 1
         if self._next_offset is not None and self._next_offset >= outcome.end:
-            self.confirmed_at = self._call_started_at
+            self._confirm(self._call_started_at + outcome.confirmed_after_s)
 
-    def _appended_after(self) -> float | None:
+    def _confirm(self, confirmed_at: float) -> None:
+        # A relay may know less than an earlier response of another source.
+        self.confirmed_at = max(confirmed_at, self.confirmed_at or confirmed_at)
+
+    def _appended_after(self, outcome: RecordBatch) -> float | None:
         """Returns the unix seconds after which the records of a response were appended.
 
         A waiting call returns within MAX_DELIVERY_S of an append, unless the store was unavailable
         or this process was suspended in the meantime. In those cases, and if the call did not
         wait, only `confirmed_at` is a safe bound.
         """
+        if outcome.appended_after_s is not None:
+            return self._call_started_at + outcome.appended_after_s
+        if outcome.delivery.source != STORE_SOURCE:
+            return self.confirmed_at
         now = self._now()
         suspended = self._was_suspended(now) or self._suspension_detected_at > self._call_started_at
         if self.confirmed_at is None or self._consecutive_failures or suspended:
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+#: Source of a response of the store.
+STORE_SOURCE = "store"
+
 
 @attrs.frozen
 class KeyedRecord:
@@ -22,8 +25,8 @@
 class Delivery:
     """How a response arrived; logged with the records that it delivered."""
 
-    #: Process that sent it: `store`, or the address of a peer.
-    source: str = "store"
+    #: STORE_SOURCE, or the address of the peer that sent it.
+    source: str = STORE_SOURCE
     #: Size of the response in bytes.
     size: int = 0
     #: Seconds from the first byte of the response to its last.
@@ -40,6 +43,9 @@
     #: Offset after the last record of the topic.
     end: int
     delivery: Delivery = Delivery()
+    #: Seconds from the start of the call to the time up to which all records are known; negative if
+    #: that time is earlier, as it is in a response of a relay.
+    confirmed_after_s: float = 0.0
 
 
 @attrs.frozen
@@ -50,6 +56,11 @@
     #: Offset after the last record of the topic.
     end: int
     delivery: Delivery = Delivery()
+    #: Seconds from the start of the call to the time up to which all records are known; negative if
+    #: that time is earlier, as it is in a response of a relay.
+    confirmed_after_s: float = 0.0
+    #: The same for the time after which all records were appended; None to infer it from the call.
+    appended_after_s: float | None = None
 
 
 @attrs.frozen
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -20,8 +20,9 @@
     decode_registration,
     decode_request,
 )
+from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayServer
 from fescuechute.runtime import Process
-from fescuechute.wire import Message
+from fescuechute.wire import Message, RelayOffer, Relays
 
 #: Seconds between ticks; the resolution of deadlines.
 TICK_S = 0.02
@@ -30,6 +31,8 @@
 OPERATORS_LONG_POLL_S = 1.5
 #: Seconds between reads of the registry; a draining replica must get no new requests after 2 s.
 REGISTRY_INTERVAL_S = 1.0
+#: Port at which the operators' records are passed on, counted from the peer port of the VM.
+RELAY_PORT_OFFSET = 3
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
 #: checks readiness once a second and removes a process after two failed checks.
 DRAIN_ACCEPT_S = 3.0
@@ -72,10 +75,25 @@
             now,
             self.rng,
         )
+        self.operator_log = self.make_operator_log()
+        self.operator_log.relaying = True
+        self.relay_server = RelayServer(Topic.OPERATORS, self.operator_log, now, count)
+        self.relay_listener = ClientServer(self.clock, self.relay_server.handle, count, "relay")
+        self.loop.add(self.relay_listener)
+        self._relay_address = RelayAddress(
+            self.process_id, cfg.ip, cfg.peer_port + RELAY_PORT_OFFSET
+        )
+        self.relay_announcer = RelayAnnouncer(
+            RelayOffer(
+                self.process_id, cfg.ip, self._relay_address.port, cfg.region, cfg.peer_port
+            ),
+            self.datagrams.send,
+        )
         self.operator_feed = self.make_feed(
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
-            lambda _keys: None,
+            self.relay_server.retain,
+            self.operator_log,
         )
         self.registry_feed = self.make_feed(
             FeedSettings(Topic.REGISTRY, 0.0, REGISTRY_INTERVAL_S),
@@ -98,6 +116,8 @@
         assert client_address is not None and readiness_address is not None
         self.callers.listen(client_address.ip, client_address.port)
         self.readiness.listen(readiness_address.ip, readiness_address.port)
+        self.relay_listener.listen(self._relay_address.ip, self._relay_address.port)
+        self.relay_server.start(self.operator_feed)
 
     @property
     def ready(self) -> bool:
@@ -114,6 +134,7 @@
             self._registry_failed_at = now
         for row in self.upstreams.expire(now):
             self._on_upstream_gone(row.instance, "lapsed")
+        self._relay_operator_records(now)
         self.load_listener.tick(now)
         self.upstream_client.tick(now)
         self.callers.tick(now)
@@ -130,14 +151,45 @@
         self._accept_until = now + DRAIN_ACCEPT_S
         self._close_deadline = now + self.settings.service_levels.grace_s * GRACE_SHARE
         self.callers.draining = True
+        self.operator_log.relaying = False
+        self.relay_server.close()
 
     def on_settings(self) -> None:
         """Applies a changed `revoke_s`."""
         self.access.max_configuration_age_s = self.settings.service_levels.revoke_s
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
-        """Passes a datagram to the load listener."""
-        self.load_listener.receive(sender, msg, self.clock.now())
+        """Records the relays of the region; passes other datagrams to the load listener."""
+        now = self.clock.now()
+        if isinstance(msg, Relays):
+            for process_id, ip, port in msg.known:
+                self.relays.add(self.settings.region, RelayAddress(process_id, ip, port), now)
+        else:
+            self.load_listener.receive(sender, msg, now)
+
+    def region_relays(self, now: float) -> list[RelayAddress]:
+        """Returns the known relays of the region, including this gateway unless it is stopping."""
+        others = [
+            relay for relay in super().region_relays(now) if relay.process_id != self.process_id
+        ]
+        return others if self.stopping else [*others, self._relay_address]
+
+    def _relay_operator_records(self, now: float) -> None:
+        """Answers other processes of the region, and offers to do so."""
+        self.relay_listener.tick(now)
+        self.relay_server.tick(now)
+        if self.operator_feed.complete and not self.stopping:
+            stager_ips = {
+                row.entry.address.ip
+                for row in self.upstreams
+                if row.entry.models and row.region == self.settings.region
+            }
+            self.relay_announcer.tick(
+                now,
+                stager_ips,
+                is_reader=self.source_selector.is_reader(now),
+                is_current=self.relay_server.is_current(now),
+            )
 
     def _gateway_count(self) -> int:
         return self.load_listener.gateway_count(self.clock.now())
@@ -200,6 +252,7 @@
     # Records.
 
     def _on_operator_record(self, record: KeyedRecord) -> None:
+        self.relay_server.add(record)
         decoded = self.decode_record(decode_operator_record, record)
         if isinstance(decoded, Configuration):
             self._apply_configuration(decoded, record.offset)
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -73,6 +73,8 @@
     idle_timeout_s: float
     #: Unix seconds at which the call fails regardless of progress.
     deadline: float
+    #: Called for each received part of the response.
+    on_progress: Callable[[], None] | None = None
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
@@ -103,6 +105,7 @@
         *,
         body: bytes = b"",
         on_data: Callable[[bytes], None] | None = None,
+        on_progress: Callable[[], None] | None = None,
         idle_timeout_s: float = 2.0,
         deadline: float = float("inf"),
         new_connection: bool = False,
@@ -116,6 +119,7 @@
           on_end: Called once when the call ends, unless it is cancelled.
           body: Request body.
           on_data: Receives the body of a 2xx response chunk by chunk.
+          on_progress: Called for each received part of the response.
           idle_timeout_s: Seconds without incoming data after which the call fails.
           deadline: Unix seconds at which the call fails regardless of progress.
           new_connection: Whether to open a new connection. The server may close a pooled connection
@@ -142,6 +146,7 @@
             now + idle_timeout_s,
             idle_timeout_s,
             deadline,
+            on_progress,
         )
         self._calls.add(call)
         self._start_call(call, now, new_connection)
@@ -219,6 +224,8 @@
         call.silence_deadline = now + call.idle_timeout_s
         if call.first_byte_at is None:
             call.first_byte_at = now
+        if call.on_progress is not None:
+            call.on_progress()
         assert call.protocol is not None
         call.protocol.receive_data(data)
         self._read_events(call)
--- a/fescuechute/platform/_store.py
+++ b/fescuechute/platform/_store.py
@@ -56,16 +56,37 @@
         self._get(path, 0.0, lambda result: on_end(_snapshot_outcome(result)))
 
     def read(
-        self, topic: str, offset: int, wait_s: float, on_end: Callable[[Outcome], None]
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        on_end: Callable[[Outcome], None],
+        on_progress: Callable[[], None] | None = None,
     ) -> None:
-        """Fetches the records from `offset` on; long-polls for up to `wait_s` if there are none."""
+        """Fetches the records from `offset` on; long-polls for up to `wait_s` if there are none.
+
+        `on_progress` is called for each received part of the response.
+        """
         path = (
             f"{names.LOG_READ_PATH}?topic={topic}&part=0&from={offset}&wait_ms={wait_s * 1000:.0f}"
         )
-        self._get(path, wait_s, lambda result: on_end(_read_outcome(result, offset)))
-
-    def _get(self, path: str, wait_s: float, on_end: Callable[[HttpResult], None]) -> None:
-        self._http.call("GET", self._server, path, on_end, idle_timeout_s=wait_s + _IDLE_TIMEOUT_S)
+        self._get(path, wait_s, lambda result: on_end(_read_outcome(result, offset)), on_progress)
+
+    def _get(
+        self,
+        path: str,
+        wait_s: float,
+        on_end: Callable[[HttpResult], None],
+        on_progress: Callable[[], None] | None = None,
+    ) -> None:
+        self._http.call(
+            "GET",
+            self._server,
+            path,
+            on_end,
+            on_progress=on_progress,
+            idle_timeout_s=wait_s + _IDLE_TIMEOUT_S,
+        )
 
 
 def _snapshot_outcome(result: HttpResult) -> Outcome:
--- /dev/null
+++ b/fescuechute/relay/_announcer.py
@@ -0,0 +1,52 @@
+"""Announces a relay to the stagers of its region, which tell the relays of each other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from fescuechute.membership import duty_holders
+from fescuechute.wire import Message, RelayOffer
+
+#: Seconds between two offers.
+OFFER_INTERVAL_S = 0.8
+#: Stagers that learn of all relays of the region; the others learn of the readers only.
+MEETING_POINTS = 4
+
+
+class RelayAnnouncer:
+    """Sends the offers of one relay.
+
+    Args:
+      offer: The offer.
+      send: Sends a datagram.
+    """
+
+    def __init__(self, offer: RelayOffer, send: Callable[[tuple[str, int], Message], None]):
+        self._offer = offer
+        self._send = send
+        self._next_offer_at = 0.0
+
+    def tick(
+        self, now: float, stager_ips: Iterable[str], *, is_reader: bool, is_current: bool
+    ) -> None:
+        """Sends the offers that are due.
+
+        A reader that is not current asks for the other relays without offering itself, so that another
+        one takes over its duty.
+
+        Args:
+          now: Unix seconds.
+          stager_ips: Addresses of the stagers of the region.
+          is_reader: Whether this relay reads from the store.
+          is_current: Whether other processes may rely on its records.
+        """
+        if now < self._next_offer_at:
+            return
+        self._next_offer_at = now + OFFER_INTERVAL_S
+        offer = attrs.evolve(self._offer, port=0) if is_reader and not is_current else self._offer
+        ips = set(stager_ips)
+        duty = f"meeting-points/{self._offer.region}"
+        for ip in ips if is_reader else duty_holders(duty, ips, MEETING_POINTS):
+            self._send((ip, self._offer.datagram_port), offer)
--- /dev/null
+++ b/fescuechute/relay/_codec.py
@@ -0,0 +1,63 @@
+"""Encoding of the batches that relays send, in compressed msgpack."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+
+import msgpack
+
+from fescuechute.errors import WireError
+from fescuechute.feeds import Delivery, KeyedRecord, RecordBatch
+
+#: A low level: a configuration has many similar routes and shrinks to a tenth at any level.
+_COMPRESSION_LEVEL = 1
+#: Limit on the records of one batch in bytes, which bounds the memory that a peer can make a reader use.
+MAX_BATCH_BYTES = 16 << 20
+
+
+def encode_records(records: Iterable[KeyedRecord]) -> bytes:
+    """Returns the compressed records."""
+    rows = [(record.offset, record.key, record.value) for record in records]
+    return zlib.compress(msgpack.packb(rows), _COMPRESSION_LEVEL)
+
+
+def encode_batch(
+    records: bytes, end: int, confirmed_after_s: float, appended_after_s: float | None
+) -> bytes:
+    """Returns a batch.
+
+    Args:
+      records: Result of `encode_records`.
+      end: Offset after the last record of the topic.
+      confirmed_after_s: Seconds from the arrival of the call to the time up to which all records are
+        known; negative if that time is earlier.
+      appended_after_s: The same for the time after which all records were appended; None if unknown.
+    """
+    return msgpack.packb((end, confirmed_after_s, appended_after_s, records))
+
+
+def decode_batch(data: bytes, source: str, transfer_s: float) -> RecordBatch:
+    """Decodes a batch.
+
+    Raises:
+      WireError: The data is no batch.
+    """
+    try:
+        end, confirmed_after_s, appended_after_s, compressed = msgpack.unpackb(data)
+        inflater = zlib.decompressobj()
+        rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
+        if not inflater.eof:
+            raise ValueError(f"its records are incomplete or exceed {MAX_BATCH_BYTES} bytes")
+        return RecordBatch(
+            tuple(KeyedRecord(int(offset), str(key), value) for offset, key, value in rows),
+            int(end),
+            Delivery(source, len(data), transfer_s),
+            float(confirmed_after_s),
+            None if appended_after_s is None else float(appended_after_s),
+        )
+    except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
+        raise WireError(
+            f"The response of the relay {source} is no batch: {exc}.",
+            "Run the same release on both ends.",
+        ) from exc
--- /dev/null
+++ b/fescuechute/relay/_log.py
@@ -0,0 +1,187 @@
+"""A keyed log that is read from relays or from the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import quote
+
+import attrs
+
+from fescuechute.errors import WireError
+from fescuechute.feeds import Failure, KeyedLog, Outcome, SnapshotPage
+from fescuechute.net import HttpClient, HttpResult
+from fescuechute.relay._codec import decode_batch
+from fescuechute.relay._sources import STORE, RelayAddress, SourceSelector
+from fescuechute.relay._timing import RelayTiming
+
+#: Path of the records at a relay.
+RECORDS_PATH = "/records"
+
+
+class StoreLog(KeyedLog, Protocol):
+    """The store, which also reports the progress of a response."""
+
+    def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        on_end: Callable[[Outcome], None],
+        on_progress: Callable[[], None] | None = None,
+    ) -> None:
+        """Requests records; `on_progress` is called for each received part of the response."""
+
+
+@attrs.define
+class _Call:
+    """One call of the feed and the sources that are left for it."""
+
+    topic: str
+    #: Offset of the first record, or None for a snapshot.
+    offset: int | None
+    #: Longest wait at the next source, in seconds; later sources are not waited at.
+    wait_s: float
+    on_end: Callable[[Outcome], None]
+    sources: list[RelayAddress]
+
+
+class RelayedLog:
+    """Reads from the sources of a selector in turn until one responds.
+
+    Args:
+      store: The store.
+      http: Client for calls to relays.
+      selector: Orders the sources.
+      timing: Time limits.
+      now: Returns unix seconds.
+      on_source_failed: Called with the name of a source and the reason when it starts to fail.
+    """
+
+    def __init__(
+        self,
+        store: StoreLog,
+        http: HttpClient,
+        selector: SourceSelector,
+        timing: RelayTiming,
+        now: Callable[[], float],
+        on_source_failed: Callable[[str, str], None] = lambda _source, _reason: None,
+    ):
+        self._store = store
+        self._http = http
+        self._selector = selector
+        self._now = now
+        self._on_source_failed = on_source_failed
+        #: Sources whose last call failed.
+        self._failing: set[RelayAddress] = set()
+        self.timing = timing
+        #: Whether other processes may read from this one, so that it must be current.
+        self.relaying = False
+        #: Unix seconds at which the first and the last part of the current response of the store
+        #: arrived; None while none is being received.
+        self._receiving_since: float | None = None
+        self._progress_at = 0.0
+        #: Unix seconds at which the store last responded.
+        self._store_responded_at = float("-inf")
+
+    def is_current(self, now: float) -> bool:
+        """Returns whether this process gets the records from the store without delay.
+
+        That holds also while a response of the store is arriving, unless it takes too long. A process
+        that reads from a relay is not current; otherwise two relays without the store could read from
+        each other.
+        """
+        receiving = (
+            self._receiving_since is not None
+            and now - self._receiving_since < self.timing.receive_s
+            and now - self._progress_at < self.timing.stalled_s
+        )
+        return receiving or now - self._store_responded_at < self.timing.stale_s
+
+    def snapshot(self, topic: str, after: str, on_end: Callable[[Outcome], None]) -> None:
+        """Requests a page of a snapshot; a relay sends all records as one page."""
+        if after:
+            # Pages of different sources do not fit together.
+            self._store.snapshot(topic, after, on_end)
+            return
+        self._try_next(_Call(topic, None, 0.0, on_end, self._selector.sources(self._now())))
+
+    def read(
+        self, topic: str, offset: int, wait_s: float, on_end: Callable[[Outcome], None]
+    ) -> None:
+        """Requests the records from an offset on."""
+        sources = self._selector.sources(self._now())
+        if self.relaying or len(sources) > 1:
+            wait_s = min(wait_s, self.timing.wait_s)
+        self._try_next(_Call(topic, offset, wait_s, on_end, sources))
+
+    def _try_next(self, call: _Call) -> None:
+        source = call.sources.pop(0)
+        if source == STORE:
+            self._read_store(call)
+        else:
+            self._read_relay(call, source)
+
+    def _read_store(self, call: _Call) -> None:
+        def on_outcome(outcome: Outcome) -> None:
+            self._receiving_since = None
+            if isinstance(outcome, Failure):
+                self._on_failure(call, STORE, outcome, responded=False)
+            else:
+                self._store_responded_at = self._now()
+                self._failing.discard(STORE)
+                call.on_end(outcome)
+
+        if call.offset is None:
+            self._store.snapshot(call.topic, "", on_outcome)
+        else:
+            self._store.read(call.topic, call.offset, call.wait_s, on_outcome, self._on_progress)
+
+    def _on_progress(self) -> None:
+        self._progress_at = self._now()
+        if self._receiving_since is None:
+            self._receiving_since = self._progress_at
+
+    def _read_relay(self, call: _Call, relay: RelayAddress) -> None:
+        name = f"{relay.ip}:{relay.port}"
+        path = (
+            f"{RECORDS_PATH}?topic={quote(call.topic)}&from={call.offset or 0}"
+            f"&wait_ms={call.wait_s * 1000:.0f}"
+        )
+
+        def on_result(result: HttpResult) -> None:
+            outcome = _relay_outcome(result, name, call.offset is None)
+            if isinstance(outcome, Failure):
+                self._on_failure(call, relay, outcome, responded=not result.error)
+            else:
+                self._failing.discard(relay)
+                call.on_end(outcome)
+
+        timeout_s = call.wait_s + self.timing.silence_s
+        self._http.call("GET", (relay.ip, relay.port), path, on_result, idle_timeout_s=timeout_s)
+
+    def _on_failure(
+        self, call: _Call, source: RelayAddress, failure: Failure, *, responded: bool
+    ) -> None:
+        self._selector.record_failure(source, responded, self._now())
+        if source not in self._failing:
+            self._failing.add(source)
+            self._on_source_failed(source.process_id, failure.reason)
+        call.wait_s = 0.0
+        if call.sources:
+            self._try_next(call)
+        else:
+            call.on_end(failure)
+
+
+def _relay_outcome(result: HttpResult, source: str, is_snapshot: bool) -> Outcome:
+    if not result.ok:
+        return Failure(f"relay {source}: {result.error or f'status {result.status}'}")
+    try:
+        batch = decode_batch(result.body, source, result.transfer_s)
+    except WireError as exc:
+        return Failure(str(exc))
+    if not is_snapshot:
+        return batch
+    present = tuple(record for record in batch.records if record.value is not None)
+    return SnapshotPage(present, False, batch.end, batch.delivery, batch.confirmed_after_s)
--- /dev/null
+++ b/fescuechute/relay/_server.py
@@ -0,0 +1,158 @@
+"""Passes the records of a topic on to other processes of the region."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import attrs
+
+from fescuechute.feeds import Feed, KeyedRecord
+from fescuechute.forwarding import ClientRequest
+from fescuechute.relay._cache import CachedRecord, RecordCache
+from fescuechute.relay._codec import encode_batch, encode_records
+from fescuechute.relay._log import RECORDS_PATH, RelayedLog
+
+#: Largest accepted wait of a call, in seconds.
+_MAX_WAIT_S = 30.0
+
+
+@attrs.frozen(eq=False)
+class _WaitingCall:
+    """A call without a response."""
+
+    request: ClientRequest
+    #: Offset of the first requested record.
+    offset: int
+    #: Unix seconds at which the call arrived, and at which it is answered without new records.
+    arrived_at: float
+    wait_until: float
+
+
+class RelayServer:
+    """Answers reads of a topic from the records of a feed.
+
+    A response dates the records by the time since the arrival of the call, because the clocks of two
+    VMs differ.
+
+    Args:
+      topic: Name of the topic.
+      log: Log from which the feed reads.
+      now: Returns unix seconds.
+      count: Increments a named counter.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        log: RelayedLog,
+        now: Callable[[], float],
+        count: Callable[[str], None],
+    ):
+        self._topic = topic
+        self._log = log
+        self._now = now
+        self._count = count
+        self._feed: Feed | None = None
+        self._cache = RecordCache()
+        self._waiting: list[_WaitingCall] = []
+        #: Encoded records of the last response, by the first requested offset and the end offset.
+        self._encoded: tuple[tuple[int, int], bytes] | None = None
+        #: Whether calls are accepted.
+        self._open = False
+
+    def start(self, feed: Feed) -> None:
+        """Starts to accept calls; the feed provides the records and their dates."""
+        self._feed = feed
+        self._open = True
+
+    def close(self) -> None:
+        """Refuses waiting and later calls."""
+        self._open = False
+        for call in self._waiting:
+            self._refuse(call.request)
+        self._waiting.clear()
+
+    def add(self, record: KeyedRecord) -> None:
+        """Adds a record that the feed has delivered."""
+        assert self._feed is not None
+        self._cache.add(record, self._feed.earliest_appended_at)
+
+    def retain(self, keys: frozenset[str]) -> None:
+        """Removes the records of keys that a snapshot of the feed did not contain."""
+        assert self._feed is not None
+        self._cache.retain(keys, self._feed.next_offset or 0)
+
+    def is_current(self, now: float) -> bool:
+        """Returns whether other processes may rely on the records."""
+        if not self._open or self._feed is None or not self._feed.complete:
+            return False
+        return self._log.is_current(now)
+
+    def handle(self, request: ClientRequest) -> None:
+        """Answers a call, at once or when new records or the end of its wait arrive."""
+        path, _, query = request.target.decode("latin-1").partition("?")
+        fields = {name: values[0] for name, values in parse_qs(query).items()}
+        try:
+            offset = int(fields["from"])
+            wait_s = min(int(fields.get("wait_ms", "0")) / 1000, _MAX_WAIT_S)
+        except (KeyError, ValueError):
+            request.response.send(400, [], b"Give `from` and `wait_ms` as whole numbers.")
+            return
+        if path != RECORDS_PATH or fields.get("topic") != self._topic:
+            request.response.send(404, [], b"This relay has no such topic.")
+            return
+        now = self._now()
+        self._waiting.append(_WaitingCall(request, offset, now, now + wait_s))
+        self.tick(now)
+
+    def tick(self, now: float) -> None:
+        """Answers the waiting calls that are due; refuses all of them if the records are not current."""
+        if not self._waiting:
+            return
+        current = self.is_current(now)
+        waiting, self._waiting = self._waiting, []
+        for call in waiting:
+            if not call.request.response.is_open:
+                continue
+            if not current:
+                self._refuse(call.request)
+            elif self._next_offset > call.offset or now >= call.wait_until:
+                self._respond(call)
+            else:
+                self._waiting.append(call)
+
+    @property
+    def _next_offset(self) -> int:
+        return (self._feed.next_offset or 0) if self._feed is not None else 0
+
+    def _refuse(self, request: ClientRequest) -> None:
+        self._count("relay.refused")
+        request.response.send(503, [], b"This relay is not current; read from the store.")
+
+    def _respond(self, call: _WaitingCall) -> None:
+        assert self._feed is not None and self._feed.confirmed_at is not None
+        found = self._cache.since(call.offset)
+        end = self._next_offset
+        appended_after_s = _earliest(found)
+        body = encode_batch(
+            self._encode(call.offset, end, found),
+            end,
+            self._feed.confirmed_at - call.arrived_at,
+            None if appended_after_s is None else appended_after_s - call.arrived_at,
+        )
+        self._count("relay.responses")
+        call.request.response.send(200, [(b"Content-Type", b"application/msgpack")], body)
+
+    def _encode(self, offset: int, end: int, found: list[CachedRecord]) -> bytes:
+        # Most processes of a region ask for the same records.
+        if self._encoded is None or self._encoded[0] != (offset, end):
+            self._encoded = ((offset, end), encode_records(known.record for known in found))
+        return self._encoded[1]
+
+
+def _earliest(found: list[CachedRecord]) -> float | None:
+    """Returns the unix seconds after which all records were appended, or None if unknown."""
+    times = [known.appended_after for known in found]
+    known_times = [time for time in times if time is not None]
+    return min(known_times) if known_times and len(known_times) == len(times) else None
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -14,10 +14,17 @@
 from circuits import BaseComponent, handler
 
 from fescuechute.errors import PlatformError, SettingsError
-from fescuechute.feeds import Feed, FeedSettings, KeyedRecord
+from fescuechute.feeds import Feed, FeedSettings, KeyedLog, KeyedRecord
 from fescuechute.forwarding import ClientRequest, ClientServer
 from fescuechute.net import DatagramSocket, HttpClient, Loop, SystemClock
 from fescuechute.platform import StoreClient, load_node_settings
+from fescuechute.relay import (
+    RelayAddress,
+    RelayDirectory,
+    RelayedLog,
+    RelayTiming,
+    SourceSelector,
+)
 from fescuechute.settings import NodeSettings
 from fescuechute.telemetry import LineWriter, Telemetry
 from fescuechute.wire import Message
@@ -71,6 +78,7 @@
             self.loop.add(owner)
         _ExceptionReporter(self._log_exception).register(self.loop)
         self.store = StoreClient(self.http, self.settings.store.address)
+        self.relays = RelayDirectory()
         self.stopping = False
 
     # Hooks for subclasses.
@@ -113,17 +121,40 @@
         settings: FeedSettings,
         on_record: Callable[[KeyedRecord], None],
         on_snapshot: Callable[[frozenset[str]], None],
+        log: KeyedLog | None = None,
     ) -> Feed:
-        """Returns a feed of a topic that logs when the store becomes unavailable or available."""
+        """Returns a feed of a topic that logs when its log, by default the store, is lost or regained."""
 
         def on_state(reason: str) -> None:
             name = "dependency.lost" if reason else "dependency.regained"
             self.telemetry.event(name, dependency=f"store/{settings.topic}", reason=reason)
 
         return Feed(
-            self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
+            log or self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
         )
 
+    def make_operator_log(self) -> RelayedLog:
+        """Returns a log of the operators' records that is read from the relays of the region."""
+        cfg = self.settings
+        self.source_selector = SourceSelector(
+            self.process_id, f"operators/{cfg.region}", self.region_relays
+        )
+        return RelayedLog(
+            self.store,
+            self.http,
+            self.source_selector,
+            RelayTiming.from_config_apply(cfg.service_levels.config_apply_s),
+            self.clock.now,
+            self._on_source_failed,
+        )
+
+    def _on_source_failed(self, source: str, reason: str) -> None:
+        self.telemetry.event("source.failed", source=source, reason=reason)
+
+    def region_relays(self, now: float) -> list[RelayAddress]:
+        """Returns the known relays of the region."""
+        return self.relays.in_region(self.settings.region, now)
+
     def decode_record(self, decode: Callable[[str, bytes], T], record: KeyedRecord) -> T | None:
         """Returns the decoded record, or None for a deleted key or a malformed record, which it logs."""
         if record.value is None:
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -30,7 +30,7 @@
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan
-from fescuechute.wire import PROTOCOL_VERSION, Hello, Message
+from fescuechute.wire import PROTOCOL_VERSION, Hello, Message, RelayOffer
 
 #: Seconds between two ticks.
 TICK_S = 0.05
@@ -112,6 +112,7 @@
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
             lambda _keys: None,
+            self.make_operator_log(),
         )
         self.registry_feed = self.make_feed(
             FeedSettings(Topic.REGISTRY, 0.0, REGISTRY_POLL_S),
@@ -172,8 +173,12 @@
         self._close_at = now + SHUTDOWN_GRACE_S
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
-        """Handles a subscription of a gateway to load messages."""
-        self.load_reporter.receive(msg, self.clock.now())
+        """Handles the offer of a relay, or a subscription of a gateway to load messages."""
+        now = self.clock.now()
+        if isinstance(msg, RelayOffer):
+            self.datagrams.send((msg.ip, msg.datagram_port), self.relays.receive_offer(msg, now))
+        else:
+            self.load_reporter.receive(msg, now)
 
     def _stage_and_load(self, now: float) -> None:
         target = self.versions.to_load()
--- a/fescuechute/wire/__init__.py
+++ b/fescuechute/wire/__init__.py
@@ -31,6 +31,8 @@
     PullRecords,
     Records,
     Refused,
+    RelayOffer,
+    Relays,
     Status,
 )
 
@@ -60,6 +62,8 @@
     "PullRecords",
     "Records",
     "Refused",
+    "RelayOffer",
+    "Relays",
     "Status",
     "encode",
 ]
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -287,3 +287,25 @@
     versions: tuple[tuple[str, int], ...]
     #: Start time of the engine in unix milliseconds.
     born_ms: int
+
+
+@attrs.frozen
+class RelayOffer(Message):
+    """Offers the operators' records to the processes of a region; sent again before it expires."""
+
+    #: Process id of the relay.
+    process_id: str
+    #: Address at which it serves the records, over TCP; the port is 0 while it does not.
+    ip: str
+    port: int
+    region: str
+    #: Port at which it receives datagrams.
+    datagram_port: int
+
+
+@attrs.frozen
+class Relays(Message):
+    """Answers a RelayOffer with the relays that are known in the same region."""
+
+    #: (process id, IP address, port) of each relay.
+    known: tuple[tuple[str, str, int], ...]
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fescuechute.feeds import (
+    Delivery,
     Failure,
     Feed,
     FeedSettings,
@@ -14,6 +15,8 @@
     Trimmed,
 )
 
+RELAY = Delivery("10.0.0.1:17703", 100)
+
 
 class RecordingLog:
     """Records the calls; the test completes each of them."""
@@ -209,3 +212,27 @@
         harness.complete_call(outcome)
         waits.append(harness.log.wait_s)
     assert waits == [1.0, 0.0, 0.0, 1.0]
+
+
+def test_response_of_a_relay_confirms_up_to_its_own_date():
+    """Guards against accepting revoked keys because a relay had older records."""
+    harness = FeedHarness()
+    harness.complete_call(SnapshotPage((), False, 5))
+    started_at = harness.now
+    harness.complete_call(RecordBatch((), 5, RELAY, confirmed_after_s=-0.3), after_s=0.7)
+    assert harness.feed.confirmed_at == pytest.approx(max(100.0, started_at - 0.3))
+    harness.complete_call(RecordBatch((), 5, RELAY, confirmed_after_s=-60.0))
+    assert harness.feed.confirmed_at == pytest.approx(max(100.0, started_at - 0.3))
+
+
+@pytest.mark.parametrize(
+    ("name", "appended_after_s", "expected"),
+    [("known to the relay", 0.2, 100.21), ("unknown to the relay", None, 100.0)],
+)
+def test_records_of_a_relay_are_dated_by_it(name, appended_after_s, expected):
+    """Guards against declarations that count as younger after a hop."""
+    harness = FeedHarness()
+    harness.complete_call(SnapshotPage((), False, 5))
+    batch = RecordBatch((make_record(5),), 6, RELAY, appended_after_s=appended_after_s)
+    harness.complete_call(batch, after_s=0.9)
+    assert harness.feed.earliest_appended_at == pytest.approx(expected), name
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -13,8 +13,9 @@
 from typing import Any
 
 from fescuechute.checks import Address
+from fescuechute.relay import RelayDirectory
 from fescuechute.stager._load_reporter import LoadReporter
-from fescuechute.wire import FrameDecoder, encode
+from fescuechute.wire import FrameDecoder, RelayOffer, encode
 from tests.harness import Fleet
 
 #: Timeout of a wait in seconds; longer than every bound in the settings below.
@@ -47,6 +48,7 @@
         self._reporter = LoadReporter(
             Address(self.ip, 1), lambda to, msg: self._sock.sendto(encode(msg), to)
         )
+        self._relays = RelayDirectory()
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
     def start(self) -> None:
@@ -61,6 +63,10 @@
     def _serve(self) -> None:
         while data := self._sock.recv(65_507):
             for msg in FrameDecoder().feed(data):
+                if isinstance(msg, RelayOffer):
+                    relays = self._relays.receive_offer(msg, time.time())
+                    self._sock.sendto(encode(relays), (msg.ip, msg.datagram_port))
+                    continue
                 self._reporter.receive(msg, time.time())
                 self.greeted[msg.process_id] += 1
 
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -1,5 +1,9 @@
 """Distribution of configurations within a region."""
 
+import os
+import signal
+import time
+
 import pytest
 
 from tests.platform.deployment import Deployment, StagerStandIn, wait_until
@@ -40,3 +44,40 @@
     path = f"/added{ADDED_ROUTES - 1}/x"
     elapsed = wait_until(lambda: all(is_in_force(deployment, n, path) for n in range(6)))
     assert elapsed < CONFIG_APPLY_S
+
+
+def test_configuration_is_in_force_in_time_while_the_readers_are_stopped(fleet, tmp_path, stager):
+    """Guards against gateways that wait for relays that do not respond."""
+    deployment = start_region(fleet, tmp_path, stager, gateways=5)
+    deployment.configure(added_routes=1)
+    wait_until(lambda: all(is_in_force(deployment, n, "/added0/x") for n in range(5)))
+    sources = [last_configuration(deployment, n)["source"] for n in range(5)]
+    readers = [n for n, source in enumerate(sources) if source == "store"]
+    assert len(readers) == 2
+    others = [n for n in range(5) if n not in readers]
+    for n in readers:
+        os.kill(deployment.gateways[n].pid, signal.SIGSTOP)
+    try:
+        deployment.configure(added_routes=2)
+        elapsed = wait_until(lambda: all(is_in_force(deployment, n, "/added1/x") for n in others))
+    finally:
+        for n in readers:
+            os.kill(deployment.gateways[n].pid, signal.SIGCONT)
+    assert elapsed < CONFIG_APPLY_S
+
+
+def test_followers_accept_keys_while_the_readers_reach_the_store(fleet, tmp_path, stager):
+    """Guards against 503 responses at gateways whose only source is a relay."""
+    deployment = start_region(fleet, tmp_path, stager, gateways=4)
+    deployment.configure(added_routes=1)
+    wait_until(lambda: all(is_in_force(deployment, n, "/added0/x") for n in range(4)))
+    # Longer than `revoke_ms`, after which an unconfirmed configuration accepts no keys.
+    ends_at = time.monotonic() + 6.0
+    while time.monotonic() < ends_at:
+        assert all(is_in_force(deployment, n, "/added0/x") for n in range(4))
+        time.sleep(0.2)
+
+
+def last_configuration(deployment, gateway):
+    lines = [line for line in deployment.log_lines(gateway) if line["event"] == "configuration"]
+    return lines[-1]
--- /dev/null
+++ b/tests/relay/test_relay_server.py
@@ -0,0 +1,122 @@
+"""Relays: dates of their responses, and when they refuse calls."""
+
+import pytest
+
+from fescuechute.feeds import Failure, KeyedRecord, RecordBatch
+from tests.relay.relay_harness import TIMING, Reader, empty_batch
+
+CONFIG = KeyedRecord(4, "config", b"{}")
+
+
+def test_call_before_the_first_snapshot_is_refused():
+    """Guards against an empty configuration at processes that start together."""
+    assert Reader().ask(0).status == 503
+
+
+def test_waiting_call_gets_a_new_record():
+    """Guards against records that arrive only after the wait of a call."""
+    reader = Reader()
+    reader.load(CONFIG)
+    response = reader.ask(5, wait_ms=700)
+    assert response.status is None
+    reader.complete(RecordBatch((KeyedRecord(5, "config", b"new"),), 6), after_s=0.3)
+    assert [record.value for record in response.batch.records] == [b"new"]
+    assert response.batch.end == 6
+
+
+def test_waiting_call_ends_without_records_after_its_wait():
+    """Guards against calls that outlive their wait."""
+    reader = Reader()
+    reader.load(CONFIG)
+    response = reader.ask(5, wait_ms=400)
+    reader.clock.advance(0.41)
+    reader.server.tick(reader.clock.time)
+    assert (response.batch.records, response.batch.end) == ((), 5)
+
+
+def test_response_is_dated_by_the_arrival_of_the_call():
+    """Guards against keys that are accepted longer because the clocks of two VMs differ."""
+    reader = Reader()
+    reader.load(CONFIG)
+    confirmed_at = reader.feed.confirmed_at
+    reader.clock.advance(0.6)
+    assert reader.ask(0).batch.confirmed_after_s == pytest.approx(confirmed_at - 100.6)
+
+
+def test_relay_that_lost_the_store_refuses_waiting_and_new_calls():
+    """Guards against late configurations at processes whose relay is cut off from the store."""
+    reader = Reader()
+    reader.load(CONFIG)
+    waiting = reader.ask(5, wait_ms=5000)
+    reader.clock.advance(TIMING.stale_s)
+    reader.server.tick(reader.clock.time)
+    assert (waiting.status, reader.ask(0).status) == (503, 503)
+
+
+def test_relay_that_reads_from_another_relay_refuses_calls():
+    """Guards against two relays that confirm each other while both lack the store."""
+    reader = Reader()
+    reader.load(CONFIG)
+    reader.complete(Failure("status 429"))
+    reader.clock.advance(TIMING.stale_s)
+    assert reader.ask(0).status == 503
+
+
+def test_relay_stays_current_while_a_large_record_arrives():
+    """Guards against a region that reads from the store because its reader needs time for a record."""
+    reader = Reader()
+    reader.load(CONFIG)
+    reader.feed.tick(reader.clock.time)
+    _, on_end, on_progress = reader.store.calls.pop()
+    waiting = reader.ask(5, wait_ms=5000)
+    while reader.clock.time < 100.0 + TIMING.receive_s - 0.1:
+        on_progress()
+        reader.server.tick(reader.clock.time)
+        reader.clock.advance(0.1)
+    assert waiting.status is None
+    on_end(RecordBatch((KeyedRecord(5, "config", b"large"),), 6))
+    reader.server.tick(reader.clock.time)
+    assert waiting.batch.records[0].value == b"large"
+
+
+@pytest.mark.parametrize("parts_s", [0.1, TIMING.stalled_s + 0.1])
+def test_relay_whose_transfer_stalls_or_takes_too_long_is_not_current(parts_s):
+    """Guards against waiting for a reader on a link that is much slower than the others."""
+    reader = Reader()
+    reader.load(CONFIG)
+    reader.feed.tick(reader.clock.time)
+    _, _, on_progress = reader.store.calls.pop()
+    while reader.clock.time < 100.0 + TIMING.receive_s:
+        on_progress()
+        reader.clock.advance(parts_s)
+    assert reader.ask(5).status == 503
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        b"/records",
+        b"/records?topic=t",
+        b"/records?topic=t&from=x",
+        b"/records?topic=t&from=1&wait_ms=.",
+    ],
+)
+def test_malformed_call_is_rejected(target):
+    """Guards against a relay that fails because of a foreign call."""
+    reader = Reader()
+    reader.load(CONFIG)
+    response = reader.ask(0)
+    response.__init__()
+    request = type("Request", (), {"target": target, "response": response})
+    reader.server.handle(request)
+    assert response.status == 400
+
+
+def test_closed_relay_refuses_calls():
+    """Guards against calls that wait for a relay that is about to end."""
+    reader = Reader()
+    reader.load(CONFIG)
+    waiting = reader.ask(5, wait_ms=5000)
+    reader.server.close()
+    reader.complete(empty_batch(5))
+    assert (waiting.status, reader.ask(0).status) == (503, 503)
