Bound the memory and time of responses without end

A gateway of 300 MB collected 380 to 440 MB until the deadline, and one partial event or a run of informational responses kept its loop busy for over 3 s, so all its callers waited.

Cause: the body of a response, an incomplete event, the skipped body of a foreign response, and the number of informational responses had no limit; each part of an event was searched from its start again. The same holds for the HTTP client of engines, origins, the store and peers, whose silence timeout each byte extends, and for lines of an engine's answer at the agent of the product's own interface.

Change: `ResponseBuffers` lets one response hold half of what the others leave free of an eighth of the memory; an event may take 256 KB, skipped bodies 1 MB, informational responses 16. Such a call fails as `too_large`, `foreign` or `malformed`, its connection closes, and the request is retried or gets 502. The HTTP client ends collected bodies at 16 MB and at 30 s beyond the silence timeout.

Evidence: test_endless_response_ends_with_a_failure_in_time has 13 cases; 6 failed before (bodies without length, chunked, of a failure and of a refusal; informational responses; one event). All pass now, as do the five cases of tests/net/test_http.py.

Why it works: what a process may hold for incomplete responses is a sum with a limit, and a response that does not end meets its own part of it first, so the others still fit.

--- a/fescuechute/agent/_engine.py
+++ b/fescuechute/agent/_engine.py
@@ -25,6 +25,8 @@
 #: terminating process may close a connection while its listener still accepts the next one.
 _MAX_STATE_QUERIES = 10
 _STATE_QUERY_DELAY_S = 0.05
+#: Limit on an incomplete line of the engine's answer, in bytes; a line holds one token.
+_MAX_LINE_BYTES = 1 << 20
 #: Minimum seconds between two updates of the token rate.
 _RATE_PERIOD_S = 1.0
 
@@ -99,6 +101,9 @@
     def _on_data(self, row: WorkRow, data: bytes) -> None:
         lines = (row.partial_line + data).split(b"\n")
         row.partial_line = lines.pop()
+        if len(row.partial_line) > _MAX_LINE_BYTES:
+            self._fail_endless_line(row)
+            return
         first = row.token_count
         tokens: list[str] = []
         for line in lines:
@@ -116,6 +121,13 @@
             piece = Piece(msg.request_id, msg.attempt, first, tuple(tokens))
             self._node.hub.send(row.peer_id, piece)
 
+    def _fail_endless_line(self, row: WorkRow) -> None:
+        self._node.count("engine.endless_line")
+        row.partial_line = b""
+        self.cancel(row)
+        text = f"A line of the engine's answer exceeds {_MAX_LINE_BYTES} bytes."
+        self._fail(row, Reason.UPSTREAM_ERROR, crashed=False, text=text)
+
     def _on_end(self, row: WorkRow, result: HttpResult) -> None:
         if result.ok and row.end_line is not None:
             self._complete(row, row.end_line)
--- a/fescuechute/errors/_errors.py
+++ b/fescuechute/errors/_errors.py
@@ -85,6 +85,10 @@
     """A frame has a message type that this protocol version does not define."""
 
 
+class ResponseTooLargeError(FescuechuteError):
+    """A response of an upstream exceeds the memory that it may take."""
+
+
 class RefusedError(FescuechuteError):
     """A request was refused or failed.
 
--- a/fescuechute/forwarding/__init__.py
+++ b/fescuechute/forwarding/__init__.py
@@ -5,6 +5,7 @@
 response to a `CallListener`. Neither of them makes routing decisions.
 """
 
+from fescuechute.forwarding._buffers import ResponseBuffers
 from fescuechute.forwarding._events import EventSplitter, StreamEvent
 from fescuechute.forwarding._headers import Headers, end_to_end, header, keep_alive_timeout_s
 from fescuechute.forwarding._server import ClientRequest, ClientServer, Response
@@ -25,6 +26,7 @@
     "Headers",
     "OutboundRequest",
     "Response",
+    "ResponseBuffers",
     "StreamEvent",
     "UpstreamCall",
     "UpstreamClient",
--- a/fescuechute/forwarding/_events.py
+++ b/fescuechute/forwarding/_events.py
@@ -6,8 +6,14 @@
 
 import attrs
 
+from fescuechute.errors import ResponseTooLargeError
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID_FIELD = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+#: Length of the longest separator of two events.
+_MAX_SEPARATOR_BYTES = 4
+#: Limit on one event; events hold a few tokens.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 @attrs.frozen
@@ -24,22 +30,33 @@
     """Splits a body into complete events and buffers the incomplete remainder."""
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
 
     @property
     def remainder(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._remainder
+        return bytes(self._remainder)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Appends data and returns the events that it completes."""
+        """Appends data and returns the events that it completes.
+
+        Raises:
+          ResponseTooLargeError: If an event exceeds MAX_EVENT_BYTES.
+        """
+        # A separator may have begun in the part that was searched before.
+        search_from = max(0, len(self._remainder) - _MAX_SEPARATOR_BYTES + 1)
         self._remainder += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(self._remainder):
-            events.append(_parse_event(self._remainder[start : match.end()]))
+        for match in _EVENT_END.finditer(self._remainder, search_from):
+            events.append(_parse_event(bytes(self._remainder[start : match.end()])))
             start = match.end()
-        self._remainder = self._remainder[start:]
+        del self._remainder[:start]
+        if len(self._remainder) > MAX_EVENT_BYTES:
+            raise ResponseTooLargeError(
+                f"An event of a stream exceeds {MAX_EVENT_BYTES} bytes.",
+                "Check the upstream; events end with a blank line.",
+            )
         return events
 
 
--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -11,6 +11,7 @@
 import h11
 
 from fescuechute.checks import Address
+from fescuechute.errors import ResponseTooLargeError
 from fescuechute.forwarding._headers import Headers, keep_alive_timeout_s
 from fescuechute.net import PEER_CLOSED, Clock, Connection, SocketOwner
 
@@ -20,8 +21,11 @@
 _KEEP_ALIVE_FRACTION = 0.6
 #: Limit on idle connections to one upstream.
 _MAX_IDLE_CONNECTIONS = 24
-#: Responses to earlier requests that one call may skip before it fails.
+#: Responses to earlier requests that one call may skip before it fails, and the bytes of their bodies.
 _MAX_SKIPPED_RESPONSES = 3
+_MAX_SKIPPED_BYTES = 1 << 20
+#: Informational (1xx) responses that one call may receive before it fails.
+_MAX_INFORMATIONAL_RESPONSES = 16
 
 
 class CallFailure(enum.StrEnum):
@@ -35,6 +39,8 @@
     MALFORMED = "malformed"
     #: The responses on the connection belong to other requests.
     FOREIGN = "foreign"
+    #: The response takes more memory than it may.
+    TOO_LARGE = "too_large"
 
 
 class CallListener(Protocol):
@@ -44,7 +50,11 @@
         """Called when the response head has arrived."""
 
     def on_data(self, data: bytes) -> None:
-        """Called for each received part of the response body."""
+        """Called for each received part of the response body.
+
+        Raises:
+          ResponseTooLargeError: To fail the call.
+        """
 
     def on_end(self) -> None:
         """Called when the response is complete."""
@@ -83,8 +93,12 @@
     reused: bool = False
     #: Number of responses skipped because they belong to earlier requests.
     skipped_responses: int = 0
+    #: Bytes of the bodies of these responses.
+    skipped_bytes: int = 0
     #: Whether the response being received belongs to an earlier request.
     skipping_response: bool = False
+    #: Number of informational responses received.
+    informational_responses: int = 0
     #: Timeout from the `Keep-Alive` field of the response, in seconds.
     announced_keep_alive_s: float | None = None
     #: Whether the head of the response was passed to the listener.
@@ -227,9 +241,10 @@
                 return
             if isinstance(event, h11.Response):
                 self._on_head(call, event)
+            elif isinstance(event, h11.InformationalResponse):
+                self._on_informational(call)
             elif isinstance(event, h11.Data):
-                if not call.skipping_response:
-                    call.listener.on_data(bytes(event.data))
+                self._on_body(call, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._on_end_of_message(call)
             elif isinstance(event, h11.ConnectionClosed):
@@ -243,6 +258,22 @@
             call.announced_keep_alive_s = keep_alive_timeout_s(headers)
             call.listener.on_head(event.status_code, headers)
 
+    def _on_informational(self, call: UpstreamCall) -> None:
+        call.informational_responses += 1
+        if call.informational_responses > _MAX_INFORMATIONAL_RESPONSES:
+            self._fail(call, CallFailure.MALFORMED, "too many informational responses")
+
+    def _on_body(self, call: UpstreamCall, data: bytes) -> None:
+        if call.skipping_response:
+            call.skipped_bytes += len(data)
+            if call.skipped_bytes > _MAX_SKIPPED_BYTES:
+                self._fail(call, CallFailure.FOREIGN, "a response to another request does not end")
+            return
+        try:
+            call.listener.on_data(data)
+        except ResponseTooLargeError as exc:
+            self._fail(call, CallFailure.TOO_LARGE, str(exc))
+
     def _on_end_of_message(self, call: UpstreamCall) -> None:
         if call.skipping_response:
             self._skip_response(call)
--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -9,6 +9,7 @@
     CallFailure,
     EventSplitter,
     Headers,
+    ResponseBuffers,
     StreamEvent,
     UpstreamCall,
 )
@@ -32,10 +33,18 @@
 class Attempt:
     """Receives one response; buffers its body, or passes on the events of a successful stream."""
 
-    def __init__(self, listener: AttemptListener, choice: Choice, streaming: bool, now: float):
+    def __init__(
+        self,
+        listener: AttemptListener,
+        choice: Choice,
+        streaming: bool,
+        now: float,
+        buffers: ResponseBuffers,
+    ):
         self._listener = listener
         self._splitter = EventSplitter()
         self._streaming = streaming
+        self._buffers = buffers
         self.choice = choice
         self.started_at = now
         self.call: UpstreamCall | None = None
@@ -75,14 +84,24 @@
         self.meta = decode_response_meta(status, headers)
 
     def on_data(self, data: bytes) -> None:
-        """Passes on complete events of a stream, or buffers the body."""
+        """Passes on complete events of a stream, or buffers the body.
+
+        Raises:
+          ResponseTooLargeError: If the body, or an event, takes too much memory.
+        """
         if not self.is_stream:
+            self._buffers.add(len(self.body), len(data))
             self.body += data
             return
         events = self._splitter.feed(data)
         if events:
             self._listener.attempt_events(self, events)
 
+    def release(self) -> None:
+        """Drops the buffered body; called when the attempt has ended."""
+        self._buffers.release(len(self.body))
+        self.body = bytearray()
+
     def on_end(self) -> None:
         """Reports that the response is complete."""
         self._listener.attempt_completed(self)
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -5,7 +5,13 @@
 from fescuechute.catalog import Configuration, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
-from fescuechute.forwarding import ClientRequest, ClientServer, UpstreamClient, header
+from fescuechute.forwarding import (
+    ClientRequest,
+    ClientServer,
+    ResponseBuffers,
+    UpstreamClient,
+    header,
+)
 from fescuechute.gateway._access import AccessControl, Denied
 from fescuechute.gateway._choice import Chooser
 from fescuechute.gateway._dispatch import Dispatcher
@@ -38,6 +44,10 @@
 DRAIN_ACCEPT_S = 3.0
 #: Maximum seconds from the start of the program to the first reading of its clock.
 MAX_STARTUP_S = 1.0
+#: Share of the memory of the process that incomplete responses may take.
+RESPONSE_MEMORY_SHARE = 0.125
+#: Memory of the process in bytes if the settings name none.
+DEFAULT_MEMORY_BYTES = 256 << 20
 #: Share of the grace period before the kill in which requests in flight may finish.
 GRACE_SHARE = 0.85
 
@@ -74,6 +84,9 @@
             self._gateway_count,
             now,
             self.rng,
+            ResponseBuffers(
+                int(RESPONSE_MEMORY_SHARE * (cfg.max_memory_bytes or DEFAULT_MEMORY_BYTES))
+            ),
         )
         self.operator_log = self.make_operator_log()
         self.operator_log.relaying = True
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -8,7 +8,12 @@
 import attrs
 
 from fescuechute.errors import ExecutionStatus, Reason
-from fescuechute.forwarding import OutboundRequest, UpstreamCall, UpstreamClient
+from fescuechute.forwarding import (
+    OutboundRequest,
+    ResponseBuffers,
+    UpstreamCall,
+    UpstreamClient,
+)
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Chooser, Requirements
 from fescuechute.gateway._transfer import CONNECT_TIMEOUT_S, Transfer
@@ -45,6 +50,7 @@
         gateway_count: Callable[[], int],
         now: Callable[[], float],
         rng: Random,
+        response_buffers: ResponseBuffers,
     ):
         self._upstream_client = upstream_client
         self._chooser = chooser
@@ -52,6 +58,7 @@
         self._telemetry = telemetry
         self._gateway_count = gateway_count
         self.now = now
+        self.response_buffers = response_buffers
         self._rng = rng
         self._transfers: set[Transfer] = set()
         self._retry_budgets: dict[str, RetryBudget] = {}
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -11,6 +11,7 @@
     ClientRequest,
     Headers,
     OutboundRequest,
+    ResponseBuffers,
     StreamEvent,
     UpstreamCall,
     end_to_end,
@@ -42,6 +43,10 @@
 class Dispatch(Protocol):
     """Operations that a transfer needs; implemented by `Dispatcher`."""
 
+    @property
+    def response_buffers(self) -> ResponseBuffers:
+        """Limit on the memory of incomplete responses."""
+
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
 
@@ -216,16 +221,17 @@
             )
             self._handle_unusable_response(attempt, f"status {attempt.status}")
         else:
-            self._dispatch.attempt_ended(self, attempt, "")
+            body = bytes(attempt.body)
+            self._end_attempt(attempt, "")
             self.may_have_run = True
-            self._send_response(attempt.status, end_to_end(attempt.headers), bytes(attempt.body))
+            self._send_response(attempt.status, end_to_end(attempt.headers), body)
 
     def attempt_failed(self, attempt: Attempt, failure: CallFailure, detail: str) -> None:
         """Handles an attempt that ended without a complete response."""
         if attempt is not self._attempt:
             return
         self._attempt = None
-        self._dispatch.attempt_ended(self, attempt, f"{failure}: {detail}")
+        self._end_attempt(attempt, f"{failure}: {detail}")
         if failure is CallFailure.NOT_CONNECTED:
             # Nothing reached the replica, so another attempt is not a retry.
             self._tried.remove(attempt.instance)
@@ -237,14 +243,14 @@
     def _handle_not_run(self, attempt: Attempt) -> None:
         assert attempt.meta is not None
         outcome = "misdirected" if attempt.meta.misdirected else "refused"
-        self._dispatch.attempt_ended(self, attempt, outcome)
+        self._end_attempt(attempt, outcome)
         if self._has_attempts() and self._dispatch.try_spend_retry(self):
             self._send(outcome)
         else:
             self._fail(503, Reason.OVERLOADED)
 
     def _handle_unusable_response(self, attempt: Attempt, outcome: str) -> None:
-        self._dispatch.attempt_ended(self, attempt, outcome)
+        self._end_attempt(attempt, outcome)
         self.may_have_run = True
         self._retry_or_fail(outcome)
 
@@ -252,7 +258,7 @@
         if attempt.incomplete_event:
             self._handle_unusable_response(attempt, "incomplete event")
             return
-        self._dispatch.attempt_ended(self, attempt, "")
+        self._end_attempt(attempt, "")
         self.may_have_run = True
         self._start_response(attempt)
         self.request.response.end()
@@ -291,7 +297,7 @@
             self._fail(502 if self.may_have_run else 503, reason)
             return
         now = self._dispatch.now()
-        attempt = Attempt(self, choice, self.streaming, now)
+        attempt = Attempt(self, choice, self.streaming, now, self._dispatch.response_buffers)
         self._attempt = attempt
         self._tried.append(choice.row.instance)
         if self.request.response.started:
@@ -327,6 +333,10 @@
             return
         self.may_have_run = self.may_have_run or attempt.sent
         self._dispatch.cancel(attempt.call)
+        self._end_attempt(attempt, outcome)
+
+    def _end_attempt(self, attempt: Attempt, outcome: str) -> None:
+        attempt.release()
         self._dispatch.attempt_ended(self, attempt, outcome)
 
     def _record_progress(self, attempt: Attempt) -> None:
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -21,6 +21,13 @@
 _MAX_IDLE_PER_SERVER = 16
 #: Seconds for which an idle connection may be reused; shorter than the idle timeout of servers.
 _IDLE_TIMEOUT_S = 5.0
+#: Limit on a collected body in bytes; records of the store take 4 MB at most.
+MAX_BODY_BYTES = 16 << 20
+#: Seconds, beyond the silence timeout, after which a call that collects its body fails although data
+#: arrives.
+_MAX_COLLECT_S = 30.0
+#: Informational (1xx) responses that one call may receive before it fails.
+_MAX_INFORMATIONAL_RESPONSES = 16
 #: `HttpResult.error` of a call that timed out because no data arrived.
 _REASON_SILENT = "silent"
 
@@ -82,6 +89,8 @@
     sent: bool = False
     #: Unix seconds at which the first byte of the response arrived, or None before.
     first_byte_at: float | None = None
+    #: Number of informational responses received.
+    informational_responses: int = 0
     #: Whether the connection was taken from the idle pool.
     reused: bool = False
     done: bool = False
@@ -107,7 +116,7 @@
         on_data: Callable[[bytes], None] | None = None,
         on_progress: Callable[[], None] | None = None,
         idle_timeout_s: float = 2.0,
-        deadline: float = float("inf"),
+        deadline: float | None = None,
         new_connection: bool = False,
     ) -> HttpCall:
         """Starts a request.
@@ -121,7 +130,8 @@
           on_data: Receives the body of a 2xx response chunk by chunk.
           on_progress: Called for each received part of the response.
           idle_timeout_s: Seconds without incoming data after which the call fails.
-          deadline: Unix seconds at which the call fails regardless of progress.
+          deadline: Unix seconds at which the call fails regardless of progress; by default none with
+            `on_data`, and otherwise after 30 s beyond `idle_timeout_s`.
           new_connection: Whether to open a new connection. The server may close a pooled connection
             just before the request arrives, which leaves unknown whether the request was executed.
 
@@ -130,6 +140,10 @@
         """
         address, port = server
         now = self._clock.now()
+        if deadline is None:
+            deadline = (
+                float("inf") if on_data is not None else now + idle_timeout_s + _MAX_COLLECT_S
+            )
         headers = [
             ("Host", f"{address}:{port}"),
             ("Content-Length", str(len(body))),
@@ -239,6 +253,10 @@
                     return
                 if isinstance(event, h11.Response):
                     call.status = event.status_code
+                elif isinstance(event, h11.InformationalResponse):
+                    call.informational_responses += 1
+                    if call.informational_responses > _MAX_INFORMATIONAL_RESPONSES:
+                        self._fail(call, "too many informational responses")
                 elif isinstance(event, h11.Data):
                     self._add_body(call, bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
@@ -251,6 +269,9 @@
     def _add_body(self, call: HttpCall, data: bytes) -> None:
         if call.on_data is not None and 200 <= call.status < 300:
             call.on_data(data)
+        elif len(call.body) + len(data) > MAX_BODY_BYTES:
+            call.body.clear()
+            self._fail(call, f"the body exceeds {MAX_BODY_BYTES} bytes")
         else:
             call.body += data
 
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -14,7 +14,7 @@
     WeightedService,
 )
 from fescuechute.checks import Address
-from fescuechute.forwarding import ClientRequest
+from fescuechute.forwarding import ClientRequest, ResponseBuffers
 from fescuechute.gateway import Allowed, Choice, Transfer, UpstreamRow
 from tests.platform.fields import SEAL
 
@@ -88,6 +88,7 @@
         #: Unix seconds at which attempts that have not started are cancelled.
         self.cancel_at = float("inf")
         self.budget = budget
+        self.response_buffers = ResponseBuffers(1 << 20)
         self.client = ClientResponse()
         self.client.end_stream = self.client.end_stream
         route = Route(
--- /dev/null
+++ b/tests/net/test_http.py
@@ -0,0 +1,50 @@
+"""HTTP client: guards against servers that send bytes without end."""
+
+import queue
+import socket
+import threading
+
+import pytest
+
+from fescuechute.net import HttpClient
+from fescuechute.net._http import MAX_BODY_BYTES
+from tests.forwarding.harness import TIMEOUT_S, RawUpstream, read_until, running_loop
+
+_PART = b"x" * (256 * 1024)
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"%x\r\n" % len(_PART) + _PART + b"\r\n"
+
+
+def send_until_closed(conn: socket.socket, first: bytes, repeated: bytes, closed) -> None:
+    try:
+        conn.sendall(first)
+        while True:
+            conn.sendall(repeated)
+    except OSError:
+        closed.set()
+
+
+@pytest.mark.parametrize(
+    ("name", "first", "repeated"),
+    [
+        ("head", b"HTTP/1.1 200 OK\r\nX-A: ", _PART),
+        ("body without length", b"HTTP/1.1 200 OK\r\n\r\n", _PART),
+        ("chunked body", CHUNKED, CHUNK),
+        ("body of a failure", CHUNKED.replace(b"200 OK", b"500 E"), CHUNK),
+        ("informational responses", b"", b"HTTP/1.1 102 P\r\n\r\n" * 100),
+    ],
+)
+def test_endless_response_fails_the_call_and_closes_the_connection(name, first, repeated):
+    """Guards against memory without bound at a process that reads from a faulty server."""
+    upstream, results, closed = RawUpstream(), queue.Queue(), threading.Event()
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        args = (conn, first, repeated, closed)
+        threading.Thread(target=send_until_closed, args=args, daemon=True).start()
+        result = results.get(timeout=TIMEOUT_S)
+        assert not result.ok and result.error, name
+        assert len(result.body) <= MAX_BODY_BYTES
+        assert closed.wait(TIMEOUT_S)
--- /dev/null
+++ b/tests/platform/test_endless_responses.py
@@ -0,0 +1,143 @@
+"""Replicas that send bytes without end: guards against a gateway that reads them until it fails."""
+
+import itertools
+import socket
+import threading
+import time
+
+import pytest
+
+from tests.platform.deployment import Deployment, wait_until
+
+#: Seconds that the clients of these tests wait; `X-Fescuechute-Deadline-Ms` of the deployment.
+CLIENT_DEADLINE_S = 2.5
+#: Megabytes by which the memory of a gateway of 300 MB may grow.
+MAX_GROWTH_MB = 100
+_PART_BYTES = 64 * 1024
+
+OWN = b"X-Fescuechute-Request-Id: 9c41\r\nX-Fescuechute-Response-Seal: s\r\n"
+FOREIGN = b"X-Fescuechute-Request-Id: other\r\nX-Fescuechute-Response-Seal: s\r\n"
+CHUNK = b"%x\r\n" % _PART_BYTES + b"x" * _PART_BYTES + b"\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+
+#: Name, path of the request, first bytes of the response, bytes that follow without end.
+CASES = [
+    ("no HTTP", "/a/x", b"", b"x" * _PART_BYTES),
+    ("one header field", "/a/x", b"HTTP/1.1 200 OK\r\nX-A: ", b"x" * _PART_BYTES),
+    ("header fields", "/a/x", b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 1000),
+    ("interim responses", "/a/x", b"", INTERIM * 1000),
+    ("body without length", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + b"\r\n", b"x" * _PART_BYTES),
+    ("chunked body", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, CHUNK),
+    ("body of a failure", "/a/x", b"HTTP/1.1 500 E\r\n" + OWN + CHUNKED, CHUNK),
+    ("body of a refusal", "/a/x", b"HTTP/1.1 503 E\r\nX-Fescuechute-Not-Executed: 1\r\n" + OWN + CHUNKED, CHUNK),
+    ("chunk extension", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"5;a=", b"x" * _PART_BYTES),
+    ("trailer", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"0\r\n", b"X-A: b\r\n" * 1000),
+    ("foreign body", "/a/x", b"HTTP/1.1 200 OK\r\n" + FOREIGN + CHUNKED, CHUNK),
+    ("one event", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, CHUNK),
+    ("event after the first", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"e\r\nid: 1\ndata: a\n\n\r\n", CHUNK),
+]  # fmt: skip
+
+
+class EndlessReplica:
+    """Sends the same bytes to each connection until that is closed."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self.start_bytes, self.repeated = b"", b""
+        #: Number of connections accepted, and of those closed by the gateway.
+        self.accepted = self.closed = 0
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def close(self) -> None:
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            threading.Thread(target=self._respond, args=(conn,), daemon=True).start()
+
+    def _respond(self, conn: socket.socket) -> None:
+        try:
+            conn.recv(65536)
+            for data in itertools.chain([self.start_bytes], itertools.repeat(self.repeated)):
+                conn.sendall(data)
+        except OSError:
+            self.closed += 1
+        finally:
+            conn.close()
+
+
+@pytest.fixture(scope="module")
+def replica():
+    replica = EndlessReplica()
+    replica.start()
+    yield replica
+    replica.close()
+
+
+def resident_mb(process) -> float:
+    with open(f"/proc/{process.pid}/statm") as file:
+        return int(file.read().split()[1]) * 4096 / 1e6
+
+
+@pytest.mark.parametrize(
+    ("name", "path", "start_bytes", "repeated"),
+    CASES,
+    ids=lambda v: v if isinstance(v, str) else "",
+)
+def test_endless_response_ends_with_a_failure_in_time(
+    fleet, tmp_path, replica, name, path, start_bytes, repeated
+):
+    """Guards against memory without bound, connections that stay open, and foreign bytes."""
+    replica.start_bytes, replica.repeated = start_bytes, repeated
+    deployment = Deployment(fleet, tmp_path, replicas=0)
+    deployment.configure()
+    for instance in ("i-0", "i-1"):
+        entry = {
+            "service": "app",
+            "address": f"127.0.0.1:{replica.port}",
+            "zone": "z",
+            "slots": 4,
+            "state": "ready",
+        }
+        deployment.put_record("keyed.servers", instance, entry)
+    wait_until(deployment.is_ready)
+    deployment.wait_for_line("upstream", upstream="i-1")
+    before_mb = resident_mb(deployment.gateway)
+    accepted, closed = replica.accepted, replica.closed
+    started_at = time.monotonic()
+    conn = deployment.connect()
+    conn.request(
+        "POST",
+        path,
+        b"body",
+        {
+            "Host": "a.example",
+            "X-Fescuechute-Request-Id": "9c41",
+            "X-Fescuechute-Deadline-Ms": "2500",
+            "Authorization": "Token k1",
+        },
+    )
+    response = conn.getresponse()
+    try:
+        body = response.read()
+        complete = True
+    except OSError:
+        complete = False
+    except Exception as exc:  # http.client.IncompleteRead carries the received part.
+        body, complete = getattr(exc, "partial", b""), False
+    assert time.monotonic() - started_at < CLIENT_DEADLINE_S + 0.5
+    assert not complete or response.status in (502, 503, 504)
+    assert b"x" not in body
+    wait_until(lambda: replica.closed - closed == replica.accepted - accepted > 0, 1.0)
+    assert resident_mb(deployment.gateway) - before_mb < MAX_GROWTH_MB
