Report a gateway ready only after a replica is known

What callers saw: 503 no_upstream from a gateway that had just become ready.

Change: a gateway is ready once it has known any replica. Afterwards it stays ready without replicas, so that its refusals reach callers at once. The test deployment waits until every gateway has logged every replica, which tests of retries need.

Measured: test_not_ready_before_a_replica_is_known failed before and passes; tests/platform passes.

Why it works: the load balancer sends clients to gateways that can choose a replica.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -115,6 +115,8 @@
         )
         self._started_at = now()
         self._registry_failed_at = 0.0
+        #: Whether any replica was ever known; the registry may be read before replicas are in it.
+        self._has_known_replicas = False
         self._accept_until = float("inf")
         self._close_deadline = float("inf")
         self._was_ready = False
@@ -135,7 +137,8 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send clients to this gateway."""
-        return self.access.table is not None and self.registry_feed.complete and not self.stopping
+        informed = self.access.table is not None and self._has_known_replicas
+        return informed and self.registry_feed.complete and not self.stopping
 
     # Callbacks of the process.
 
@@ -314,6 +317,7 @@
                 self.telemetry.count("registration.invalid")
             self._on_entry_removed(record.key)
             return
+        self._has_known_replicas = True
         row = self.upstreams.get(entry.instance)
         previous = row.entry if row is not None else None
         if self.upstreams.register(entry) or (previous and previous.state is not entry.state):
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -169,11 +169,15 @@
         return [run for runs in responses for run in json.loads(runs)]
 
     def start(self) -> None:
-        """Writes the configuration, registers all replicas and waits until the gateway is ready."""
+        """Writes the configuration, registers all replicas and waits until the gateways know them."""
         self.configure()
         for index in range(len(self.replicas)):
             self.register(index)
         wait_until(self.is_ready)
+        for gateway, index in itertools.product(
+            range(len(self.gateways)), range(len(self.replicas))
+        ):
+            self.wait_for_line("upstream", gateway, upstream=f"i-{index}")
 
     def is_ready(self) -> bool:
         try:
@@ -215,12 +219,12 @@
         text = self.gateways[gateway].stdout.read_text()
         return [json.loads(line) for line in text.splitlines()]
 
-    def wait_for_line(self, event: str, **fields: Any) -> dict[str, Any]:
-        """Waits for a matching log line of the gateway and returns the first one."""
+    def wait_for_line(self, event: str, gateway: int = 0, **fields: Any) -> dict[str, Any]:
+        """Waits for a matching log line of a gateway and returns the first one."""
 
         def matching() -> list[dict[str, Any]]:
             wanted = {"event": event, **fields}.items()
-            return [line for line in self.log_lines() if wanted <= line.items()]
+            return [line for line in self.log_lines(gateway) if wanted <= line.items()]
 
         wait_until(lambda: bool(matching()))
         return matching()[0]
--- a/tests/platform/test_gateway_process.py
+++ b/tests/platform/test_gateway_process.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import threading
+import time
 
 import pytest
 
@@ -25,6 +26,19 @@
     deployment.start()
 
 
+def test_not_ready_before_a_replica_is_known(deployment):
+    """Guards against 503 responses from a gateway that read the registry before any replica was in it."""
+    deployment.configure()
+    deployment.wait_for_line("configuration")
+    ends_at = time.monotonic() + 1.5
+    while time.monotonic() < ends_at:
+        assert not deployment.is_ready()
+        time.sleep(0.05)
+    deployment.register(0)
+    wait_until(deployment.is_ready)
+    assert deployment.send().status == 200
+
+
 def test_request_is_served_logged_and_counted(deployment):
     """Guards against altered responses, API keys sent to replicas, and unlogged requests."""
     deployment.start()
