Date records by the confirmed time after a source has failed

What callers may see: requests that begin on an older version after a declared one binds.

Cause: a feed infers from a long call that its records were appended within 0.15 s of their arrival. With relays, a call may wait at a silent relay first and then read from the store without waiting; its records may then be as old as the last confirmation.

Change: such a response is not `prompt`, and the feed takes the confirmed time as the bound.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -203,7 +203,7 @@
         """
         if outcome.appended_after_s is not None:
             return self._call_started_at + outcome.appended_after_s
-        if outcome.delivery.source != STORE_SOURCE:
+        if outcome.delivery.source != STORE_SOURCE or not outcome.prompt:
             return self.confirmed_at
         now = self._now()
         suspended = self._was_suspended(now) or self._suspension_detected_at > self._call_started_at
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -61,6 +61,8 @@
     confirmed_after_s: float = 0.0
     #: The same for the time after which all records were appended; None to infer it from the call.
     appended_after_s: float | None = None
+    #: Whether the call waited at the log all the time, so that records came as soon as they were there.
+    prompt: bool = True
 
 
 @attrs.frozen
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -236,3 +236,11 @@
     batch = RecordBatch((make_record(5),), 6, RELAY, appended_after_s=appended_after_s)
     harness.complete_call(batch, after_s=0.9)
     assert harness.feed.earliest_appended_at == pytest.approx(expected), name
+
+
+def test_response_after_a_failed_source_does_not_date_its_records():
+    """Guards against declarations that count as younger because their call waited at another source."""
+    harness = FeedHarness()
+    harness.complete_call(SnapshotPage((), False, 5))
+    harness.complete_call(RecordBatch((make_record(5),), 6, prompt=False), after_s=0.9)
+    assert harness.feed.earliest_appended_at == pytest.approx(100.0)
