Create the operators' log with the other clients of a process

Change: the log and its source selector are made in the constructor, so that no attribute appears later. The behaviour is the same; tests/platform/test_configuration_relay.py and test_gateway_process.py pass.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -88,7 +88,6 @@
                 int(RESPONSE_MEMORY_SHARE * (cfg.max_memory_bytes or DEFAULT_MEMORY_BYTES))
             ),
         )
-        self.operator_log = self.make_operator_log()
         self.operator_log.relaying = True
         self.relay_server = RelayServer(Topic.OPERATORS, self.operator_log, now, count)
         self.relay_listener = ClientServer(self.clock, self.relay_server.handle, count, "relay")
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -79,6 +79,19 @@
         _ExceptionReporter(self._log_exception).register(self.loop)
         self.store = StoreClient(self.http, self.settings.store.address)
         self.relays = RelayDirectory()
+        cfg = self.settings
+        self.source_selector = SourceSelector(
+            self.process_id, f"operators/{cfg.region}", self.region_relays
+        )
+        #: The operators' records, read from the relays of the region or from the store.
+        self.operator_log = RelayedLog(
+            self.store,
+            self.http,
+            self.source_selector,
+            RelayTiming.from_config_apply(cfg.service_levels.config_apply_s),
+            self.clock.now,
+            self._on_source_failed,
+        )
         self.stopping = False
 
     # Hooks for subclasses.
@@ -133,24 +146,6 @@
             log or self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
         )
 
-    def make_operator_log(self) -> RelayedLog:
-        """Returns a log of the operators' records that is read from the relays of the region."""
-        cfg = self.settings
-        self.source_selector = SourceSelector(
-            self.process_id, f"operators/{cfg.region}", self.region_relays
-        )
-        return RelayedLog(
-            self.store,
-            self.http,
-            self.source_selector,
-            RelayTiming.from_config_apply(cfg.service_levels.config_apply_s),
-            self.clock.now,
-            self._on_source_failed,
-        )
-
-    def _on_source_failed(self, source: str, reason: str) -> None:
-        self.telemetry.event("source.failed", source=source, reason=reason)
-
     def region_relays(self, now: float) -> list[RelayAddress]:
         """Returns the known relays of the region."""
         return self.relays.in_region(self.settings.region, now)
@@ -201,6 +196,9 @@
             self.store.set_address(settings.store.address)
             self.on_settings()
 
+    def _on_source_failed(self, source: str, reason: str) -> None:
+        self.telemetry.event("source.failed", source=source, reason=reason)
+
     def _serve_metrics(self, request: ClientRequest) -> None:
         if request.method == b"GET" and request.path == "/metrics":
             fields = [(b"Content-Type", b"text/plain; version=0.0.4")]
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -112,7 +112,7 @@
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
             lambda _keys: None,
-            self.make_operator_log(),
+            self.operator_log,
         )
         self.registry_feed = self.make_feed(
             FeedSettings(Topic.REGISTRY, 0.0, REGISTRY_POLL_S),
