Refuse calls to a relay as soon as the store rejects it

What callers may see: late configurations in a region whose readers the store turns away.

Cause: a relay stayed current until its last response was 1.35 s old, although it knew that a later call had failed.

Change: a failed call makes it not current at once, so waiting calls are refused at the next tick.

Evidence: test_relay_that_the_store_rejects_refuses_waiting_calls_at_once failed before (no response) and passes.

--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -83,7 +83,7 @@
         #: arrived; None while none is being received.
         self._receiving_since: float | None = None
         self._progress_at = 0.0
-        #: Unix seconds at which the store last responded.
+        #: Unix seconds at which the store last responded; minus infinity after a failed call.
         self._store_responded_at = float("-inf")
 
     def is_current(self, now: float) -> bool:
@@ -128,6 +128,7 @@
         def on_outcome(outcome: Outcome) -> None:
             self._receiving_since = None
             if isinstance(outcome, Failure):
+                self._store_responded_at = float("-inf")
                 self._on_failure(call, STORE, outcome, responded=False)
             else:
                 self._store_responded_at = self._now()
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -53,6 +53,15 @@
     assert (waiting.status, reader.ask(0).status) == (503, 503)
 
 
+def test_relay_that_the_store_rejects_refuses_waiting_calls_at_once():
+    """Guards against a region that misses configurations until its reader counts as stale."""
+    reader = Reader()
+    reader.load(CONFIG)
+    waiting = reader.ask(5, wait_ms=5000)
+    reader.complete(Failure("status 503"))
+    assert waiting.status == 503
+
+
 def test_relay_that_reads_from_another_relay_refuses_calls():
     """Guards against two relays that confirm each other while both lack the store."""
     reader = Reader()
