Plan a declared version in any order of the operators' records

Cause: a stager ignored declarations of a model that it did not know as its engine's, and it learns that from the configuration. Such a stager waited for the next declaration, and its successors of the ring with it. The class is an assumption about the order of records of different keys, which a keyed topic does not promise.

Gateways keep versions by model and need no order.

--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -188,5 +188,7 @@
         return Failure(str(exc))
     if not is_snapshot:
         return batch
-    present = tuple(record for record in batch.records if record.value is not None)
-    return SnapshotPage(present, False, batch.end, batch.delivery, batch.confirmed_after_s)
+    present = [record for record in batch.records if record.value is not None]
+    # The store sends snapshots in key order as well.
+    present.sort(key=lambda record: record.key)
+    return SnapshotPage(tuple(present), False, batch.end, batch.delivery, batch.confirmed_after_s)
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -120,6 +120,8 @@
             self._on_registry_snapshot,
         )
         self._services: dict[str, Service] = {}
+        #: Declared versions that are not planned yet, with the offsets of their records, by model.
+        self._declarations: dict[str, tuple[int, int]] = {}
         self._registrations: dict[str, Registration] = {}
         #: Latest report of the engine, or None while it does not respond.
         self._report: EngineReport | None = None
@@ -401,16 +403,23 @@
             self._services = decoded.services
             self.versions.download_s = self._download_s()
             self._update_ring()
-        elif isinstance(decoded, VersionDeclaration) and decoded.model == self.model:
-            self.telemetry.event(
-                "version.declared",
-                model=decoded.model,
-                version=decoded.version,
-                offset=record.offset,
-            )
-            self.versions.declare(decoded.version, self.clock.now())
-            self._on_versions_changed()
-            self._request_manifests(self.clock.now())
+            self._plan_declared_version()
+        elif isinstance(decoded, VersionDeclaration):
+            self._declarations[decoded.model] = (decoded.version, record.offset)
+            self._plan_declared_version()
+
+    def _plan_declared_version(self) -> None:
+        """Plans the declared version of the engine's model.
+
+        The declaration may arrive before the configuration, which names the model.
+        """
+        if self.model not in self._declarations:
+            return
+        version, offset = self._declarations.pop(self.model)
+        self.telemetry.event("version.declared", model=self.model, version=version, offset=offset)
+        self.versions.declare(version, self.clock.now())
+        self._on_versions_changed()
+        self._request_manifests(self.clock.now())
 
     def _on_registration(self, record: KeyedRecord) -> None:
         previous = self._registrations.pop(record.key, None)
--- a/tests/relay/test_relayed_log.py
+++ b/tests/relay/test_relayed_log.py
@@ -102,3 +102,13 @@
     follower = Follower()
     follower.log.snapshot("t", "config", follower.outcomes.append)
     assert follower.store.calls[0][0] == ("snapshot", "config")
+
+
+def test_snapshot_of_a_relay_is_in_key_order():
+    """Guards against readers that get a declaration before the configuration that it refers to."""
+    records = [KeyedRecord(5, "version/m", b"2"), KeyedRecord(9, "config", b"{}")]
+    follower = Follower()
+    follower.log.snapshot("t", "", follower.outcomes.append)
+    follower.answer(make_result(body=encode_batch(encode_records(records), 10, 0.0, None)))
+    (page,) = follower.outcomes
+    assert [record.key for record in page.records] == ["config", "version/m"]
