Compute the offer of a relay only when it is due

Cause: a gateway collected the stagers of its region and hashed the duty each 20 ms, for an offer each 0.8 s; at 817 stagers in a region that is most of its control budget.

Change: `RelayAnnouncer.is_due` is asked first. No change of behaviour; tests/relay and tests/platform/test_configuration_relay.py pass.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -193,13 +193,13 @@
         """Answers other processes of the region, and offers to do so."""
         self.relay_listener.tick(now)
         self.relay_server.tick(now)
-        if self.operator_feed.complete and not self.stopping:
+        if self.operator_feed.complete and not self.stopping and self.relay_announcer.is_due(now):
             stager_ips = {
                 row.entry.address.ip
                 for row in self.upstreams
                 if row.entry.models and row.region == self.settings.region
             }
-            self.relay_announcer.tick(
+            self.relay_announcer.announce(
                 now,
                 stager_ips,
                 is_reader=self.source_selector.is_reader(now),
--- a/fescuechute/relay/_announcer.py
+++ b/fescuechute/relay/_announcer.py
@@ -28,10 +28,14 @@
         self._send = send
         self._next_offer_at = 0.0
 
-    def tick(
+    def is_due(self, now: float) -> bool:
+        """Returns whether the next offers are due."""
+        return now >= self._next_offer_at
+
+    def announce(
         self, now: float, stager_ips: Iterable[str], *, is_reader: bool, is_current: bool
     ) -> None:
-        """Sends the offers that are due.
+        """Sends an offer to each stager that should know this relay.
 
         A reader that is not current asks for the other relays without offering itself, so that another
         one takes over its duty.
@@ -42,8 +46,6 @@
           is_reader: Whether this relay reads from the store.
           is_current: Whether other processes may rely on its records.
         """
-        if now < self._next_offer_at:
-            return
         self._next_offer_at = now + OFFER_INTERVAL_S
         offer = attrs.evolve(self._offer, port=0) if is_reader and not is_current else self._offer
         ips = set(stager_ips)
--- a/tests/relay/test_directory_and_announcer.py
+++ b/tests/relay/test_directory_and_announcer.py
@@ -47,7 +47,8 @@
     sent = []
     announcer = RelayAnnouncer(OFFER, lambda to, msg: sent.append((to, msg)))
     for now in (0.0, OFFER_INTERVAL_S / 2):
-        announcer.tick(now, STAGERS, is_reader=is_reader, is_current=is_current)
+        if announcer.is_due(now):
+            announcer.announce(now, STAGERS, is_reader=is_reader, is_current=is_current)
     return sent
 
 
