Forget failed relays that are no longer known

Cause: the set of sources whose failure was logged kept the id of every relay that had ever ended.

Change: only sources of the current call are kept.

--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -106,17 +106,23 @@
             # Pages of different sources do not fit together.
             self._store.snapshot(topic, after, on_end)
             return
-        self._try_next(_Call(topic, None, 0.0, on_end, self._selector.sources(self._now())))
+        self._try_next(_Call(topic, None, 0.0, on_end, self._sources()))
 
     def read(
         self, topic: str, offset: int, wait_s: float, on_end: Callable[[Outcome], None]
     ) -> None:
         """Requests the records from an offset on."""
-        sources = self._selector.sources(self._now())
+        sources = self._sources()
         if self.relaying or len(sources) > 1:
             wait_s = min(wait_s, self.timing.wait_s)
         self._try_next(_Call(topic, offset, wait_s, on_end, sources))
 
+    def _sources(self) -> list[RelayAddress]:
+        sources = self._selector.sources(self._now())
+        # Relays that have ended never respond again.
+        self._failing.intersection_update(sources)
+        return sources
+
     def _try_next(self, call: _Call) -> None:
         source = call.sources.pop(0)
         if source == STORE:
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -91,9 +91,14 @@
 
     def ask(self, offset, wait_ms=0):
         """Sends a call of another process and returns its response."""
+        return self.send(f"/records?topic=t&from={offset}&wait_ms={wait_ms}")
+
+    def send(self, target):
+        """Sends any request and returns its response."""
         response = FakeResponse()
-        target = f"/records?topic=t&from={offset}&wait_ms={wait_ms}".encode()
-        self.server.handle(ClientRequest(b"GET", target, [], b"", self.clock.time, False, response))
+        self.server.handle(
+            ClientRequest(b"GET", target.encode(), [], b"", self.clock.time, False, response)
+        )
         return response
 
 
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -102,23 +102,21 @@
 
 
 @pytest.mark.parametrize(
-    "target",
+    ("target", "status"),
     [
-        b"/records",
-        b"/records?topic=t",
-        b"/records?topic=t&from=x",
-        b"/records?topic=t&from=1&wait_ms=.",
+        ("/records", 400),
+        ("/records?topic=t", 400),
+        ("/records?topic=t&from=x", 400),
+        ("/records?topic=t&from=1&wait_ms=.", 400),
+        ("/records?topic=other&from=1", 404),
+        ("/other?topic=t&from=1", 404),
     ],
 )
-def test_malformed_call_is_rejected(target):
+def test_malformed_call_is_rejected(target, status):
     """Guards against a relay that fails because of a foreign call."""
     reader = Reader()
     reader.load(CONFIG)
-    response = reader.ask(0)
-    response.__init__()
-    request = type("Request", (), {"target": target, "response": response})
-    reader.server.handle(request)
-    assert response.status == 400
+    assert reader.send(target).status == status
 
 
 def test_closed_relay_refuses_calls():
--- a/tests/relay/test_relayed_log.py
+++ b/tests/relay/test_relayed_log.py
@@ -17,14 +17,17 @@
     """A process that reads from two relays."""
 
     def __init__(self):
-        self.clock, self.store, self.http, self.outcomes = (
-            ManualClock(),
-            FakeStore(),
-            FakeHttp(),
-            [],
-        )
+        self.clock, self.store, self.http = ManualClock(), FakeStore(), FakeHttp()
+        self.outcomes, self.failed_sources = [], []
         selector = SourceSelector("side-1/a", "d", lambda _now: RELAYS)
-        self.log = RelayedLog(self.store, self.http, selector, TIMING, self.clock.now)
+        self.log = RelayedLog(
+            self.store,
+            self.http,
+            selector,
+            TIMING,
+            self.clock.now,
+            lambda source, _reason: self.failed_sources.append(source),
+        )
 
     def read(self):
         self.log.read("t", 5, 3.0, self.outcomes.append)
@@ -112,3 +115,15 @@
     follower.answer(make_result(body=encode_batch(encode_records(records), 10, 0.0, None)))
     (page,) = follower.outcomes
     assert [record.key for record in page.records] == ["config", "version/m"]
+
+
+def test_failing_source_is_reported_once():
+    """Guards against a log line for each call while a relay is down."""
+    follower = Follower()
+    for _ in range(2):
+        follower.read()
+        follower.answer(make_result(503))
+        follower.answer(make_result(503))
+        follower.store.calls.pop()[1](empty_batch(5))
+        follower.clock.advance(10.0)
+    assert sorted(follower.failed_sources) == [relay.process_id for relay in RELAYS]
