--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Replicas that send bytes without end: guards against a gateway that reads them until it fails."""
 
+import http.client
 import itertools
 import socket
 import threading
@@ -7,7 +8,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment, wait_until
+from tests.platform.deployment import HOST, Deployment, wait_until
 
 #: Seconds that the clients of these tests wait; `X-Fescuechute-Deadline-Ms` of the deployment.
 CLIENT_DEADLINE_S = 2.5
@@ -100,44 +101,44 @@
 ):
     """Guards against memory without bound, connections that stay open, and foreign bytes."""
     replica.start_bytes, replica.repeated = start_bytes, repeated
+    deployment = start_deployment(fleet, tmp_path, replica)
+    before_mb = resident_mb(deployment.gateway)
+    accepted, closed = replica.accepted, replica.closed
+    started_at = time.monotonic()
+    status, body, complete = send(deployment, path)
+    assert time.monotonic() - started_at < CLIENT_DEADLINE_S + 0.5
+    assert not complete or status in (502, 503, 504)
+    assert b"x" not in body
+    wait_until(lambda: replica.closed - closed == replica.accepted - accepted > 0, 1.0)
+    assert resident_mb(deployment.gateway) - before_mb < MAX_GROWTH_MB
+
+
+def start_deployment(fleet, tmp_path, replica) -> Deployment:
+    """Starts a gateway whose two replicas are at the address of the endless one."""
     deployment = Deployment(fleet, tmp_path, replicas=0)
     deployment.configure()
     for instance in ("i-0", "i-1"):
-        entry = {
-            "service": "app",
-            "address": f"127.0.0.1:{replica.port}",
-            "zone": "z",
-            "slots": 4,
-            "state": "ready",
-        }
-        deployment.put_record("keyed.servers", instance, entry)
+        entry = {"service": "app", "address": f"127.0.0.1:{replica.port}", "zone": "z"}
+        deployment.put_record("keyed.servers", instance, {**entry, "slots": 4, "state": "ready"})
     wait_until(deployment.is_ready)
     deployment.wait_for_line("upstream", upstream="i-1")
-    before_mb = resident_mb(deployment.gateway)
-    accepted, closed = replica.accepted, replica.closed
-    started_at = time.monotonic()
+    return deployment
+
+
+def send(deployment, path) -> tuple[int, bytes, bool]:
+    """Returns the status, the received part of the body, and whether it is complete."""
     conn = deployment.connect()
-    conn.request(
-        "POST",
-        path,
-        b"body",
-        {
-            "Host": "a.example",
-            "X-Fescuechute-Request-Id": "9c41",
-            "X-Fescuechute-Deadline-Ms": "2500",
-            "Authorization": "Token k1",
-        },
-    )
+    headers = {
+        "Host": HOST,
+        "X-Fescuechute-Request-Id": "9c41",
+        "X-Fescuechute-Deadline-Ms": f"{CLIENT_DEADLINE_S * 1000:.0f}",
+        "Authorization": "Token k1",
+    }
+    conn.request("POST", path, b"body", headers)
     response = conn.getresponse()
     try:
-        body = response.read()
-        complete = True
+        return response.status, response.read(), True
+    except http.client.IncompleteRead as exc:
+        return response.status, exc.partial, False
     except OSError:
-        complete = False
-    except Exception as exc:  # http.client.IncompleteRead carries the received part.
-        body, complete = getattr(exc, "partial", b""), False
-    assert time.monotonic() - started_at < CLIENT_DEADLINE_S + 0.5
-    assert not complete or response.status in (502, 503, 504)
-    assert b"x" not in body
-    wait_until(lambda: replica.closed - closed == replica.accepted - accepted > 0, 1.0)
-    assert resident_mb(deployment.gateway) - before_mb < MAX_GROWTH_MB
+        return response.status, b"", False
