Trust a refusal on a kept connection only if it names its request

Cause: `is_response_to` took a response without a request id for the one that is waited for, and `not_run` was then believed. A replica that writes an earlier refusal once more on a kept connection thereby made the gateway report "not run" for a request that the replica was running, or send it to a second replica.

Excluded: refusals that name the earlier request were skipped already.

Change: `ResponseMeta.names_request`; a response without an id counts only if it is the first one on a new connection, otherwise the attempt has an unknown outcome.

--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -47,6 +47,8 @@
 class ResponseMeta:
     """Metadata of a response from a replica."""
 
+    #: Whether the response carries the id of a request.
+    names_request: bool
     #: Whether the replica states that it did not run the request.
     not_run: bool
     #: Whether the replica rejected the request because it named another instance or version.
--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -106,6 +106,11 @@
     #: Whether the call was completed, failed or cancelled.
     done: bool = False
 
+    @property
+    def is_first_on_connection(self) -> bool:
+        """Whether a response cannot belong to an earlier request on the connection."""
+        return not self.reused and not self.skipped_responses
+
 
 @attrs.frozen
 class _IdleConnection:
--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -52,6 +52,8 @@
         self.headers: Headers = []
         self.meta: ResponseMeta | None = None
         self.body = bytearray()
+        #: Whether the response is known to belong to this request.
+        self.identified = False
         #: Whether the attempt was reported as slow to start responding.
         self.reported_slow = False
         #: Prompt tokens counted in `UpstreamRow.pending_prompt_tokens` until the response starts.
@@ -82,6 +84,9 @@
         self.status = status
         self.headers = headers
         self.meta = decode_response_meta(status, headers)
+        # A response without an id on a kept connection may belong to an earlier request.
+        first = self.call is None or self.call.is_first_on_connection
+        self.identified = self.meta.names_request or first
 
     def on_data(self, data: bytes) -> None:
         """Passes on complete events of a stream, or buffers the body.
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -205,7 +205,9 @@
             return
         assert attempt.meta is not None
         self._attempt = None
-        if attempt.meta.not_run:
+        if not attempt.identified:
+            self._handle_unusable_response(attempt, "unidentified")
+        elif attempt.meta.not_run:
             self._handle_not_run(attempt)
         elif attempt.is_stream:
             self._finish_stream(attempt)
--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -57,7 +57,10 @@
 
 
 def is_response_to(request_id: str, headers: Headers) -> bool:
-    """Returns whether a response belongs to a request, by the id that replicas echo."""
+    """Returns whether a response may belong to a request, by the id that replicas echo.
+
+    One without an id may belong to any request that was sent on its connection.
+    """
     echoed = header(headers, names.REQUEST_ID)
     return echoed is None or echoed.decode("latin-1") == request_id
 
@@ -65,6 +68,7 @@
 def decode_response_meta(status: int, headers: Headers) -> ResponseMeta:
     """Decodes the status and header fields of a replica's response."""
     return ResponseMeta(
+        names_request=header(headers, names.REQUEST_ID) is not None,
         not_run=status == 421 or header(headers, names.NOT_EXECUTED) is not None,
         misdirected=status == 421,
         # Clients request unencoded bodies, so an encoded body was altered on its way.
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -59,6 +59,7 @@
     request: object
     sent: bool = True
     cancelled: bool = False
+    is_first_on_connection: bool = True
 
     def respond(self, status, body=b"", headers=(SEAL,)):
         """Sends a complete response from the replica."""
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -144,11 +144,13 @@
             **changes,
         }
         stream = {**route, "path_prefix": "/s/", "kind": "streaming", "can_resume": True}
+        once = {**route, "path_prefix": "/b/", "kind": "non_idempotent"}
         body = {
             "version": self._version,
             "routes": [
                 route,
                 stream,
+                once,
                 *({**route, "path_prefix": f"/added{n}/"} for n in range(added_routes)),
             ],
             "services": [{"name": "app", "health_path": "/health", "max_conns": 100}],
