Keep errors and empty or unsealed successes out of event streams

Cause: once a stream had begun, a response of the next replica that is no failure by status (404, 302) was passed to `Response.send`, which does nothing after the head was sent: the request ended in the books while the client's connection stayed open. A 2xx stream was forwarded without a look at its seal, and one without any event ended the client's stream as complete.

Evidence: tests/platform/test_faulty_responses.py; on the cases "not found", "redirect" (the client got no end within 10 s), "success without events", "success without a seal" and both cases of a first response without seal or events failed. The other statuses, responses cut off at every byte and responses split at every byte passed already, for new and for kept connections: a head that breaks off is never taken for a response here.

Change: after the first event only a sealed stream of this request can follow, anything else costs the attempt; a stream without events is unusable unless the client itself resumed it.

Measured: all cases of the file pass, among them each response cut and split at every byte.

--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -54,6 +54,8 @@
         self.body = bytearray()
         #: Whether the response is known to belong to this request.
         self.identified = False
+        #: Number of complete events received.
+        self.event_count = 0
         #: Whether the attempt was reported as slow to start responding.
         self.reported_slow = False
         #: Prompt tokens counted in `UpstreamRow.pending_prompt_tokens` until the response starts.
@@ -72,7 +74,9 @@
     @property
     def is_stream(self) -> bool:
         """Whether the response is a successful event stream, which is passed on as it arrives."""
-        return self._streaming and 200 <= self.status < 300
+        if not self._streaming or self.meta is None or not 200 <= self.status < 300:
+            return False
+        return self.identified and self.meta.sealed
 
     @property
     def incomplete_event(self) -> bool:
@@ -99,6 +103,7 @@
             self.body += data
             return
         events = self._splitter.feed(data)
+        self.event_count += len(events)
         if events:
             self._listener.attempt_events(self, events)
 
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -213,6 +213,9 @@
             self._finish_stream(attempt)
         elif attempt.status < 300 and not attempt.meta.sealed:
             self._handle_unusable_response(attempt, "unsealed")
+        elif self.request.response.started:
+            # The client has received events, so only further events can follow.
+            self._handle_unusable_response(attempt, f"status {attempt.status} in a stream")
         elif attempt.status in NOT_RUN_STATUSES:
             self._handle_unusable_response(attempt, "unproved refusal")
         elif attempt.status >= 500:
@@ -260,6 +263,10 @@
         if attempt.incomplete_event:
             self._handle_unusable_response(attempt, "incomplete event")
             return
+        resumed_by_client = self.meta.last_event_id is not None and not self._resume_count
+        if not attempt.event_count and not resumed_by_client:
+            self._handle_unusable_response(attempt, "no events")
+            return
         self._end_attempt(attempt, "")
         self.may_have_run = True
         self._start_response(attempt)
--- a/tests/platform/test_faulty_responses.py
+++ b/tests/platform/test_faulty_responses.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import time
 
 import pytest
 
@@ -12,9 +13,14 @@
     complete,
     event,
     head,
+    own_fields,
+    plain,
     refusal,
+    stream,
 )
 
+#: Seconds between the two parts of a split response, so that they arrive in two reads.
+_SPLIT_PAUSE_S = 0.002
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 WHOLE = {"/a/x": b"the whole answer", "/b/x": b"the whole answer", "/s/x": WHOLE_STREAM}
 PATHS = {"idempotent": "/a/x", "booking": "/b/x", "stream": "/s/x"}
@@ -110,3 +116,114 @@
     single.replica.script = lambda request: [refusal(request.id)]
     assert single.send("/b/x")[1] == 503
     assert single.replica.received[-1].earlier >= 1
+
+
+@pytest.mark.parametrize(
+    ("name", "second"),
+    [
+        ("not found", lambda r: head(b"404 Not Found", *own_fields(r), b"Content-Length: 5") + b"wrong"),
+        ("own failure", lambda r: head(b"500 Error", *own_fields(r), b"Content-Length: 5") + b"wrong"),
+        ("not run", lambda r: refusal(r.id)),
+        ("misdirected", lambda r: head(b"421 Misdirected Request", *own_fields(r), b"Content-Length: 0")),
+        ("refusal without proof", lambda r: head(b"503 Busy", *own_fields(r), b"Content-Length: 5") + b"wrong"),
+        ("redirect", lambda r: head(b"302 Found", *own_fields(r), b"Content-Length: 5") + b"wrong"),
+        ("success without a seal", lambda r: head(b"200 OK", own_fields(r)[0], b"Content-Length: 19") + b"id: 2\ndata: wrong\n\n"),
+        ("success without events", lambda r: head(b"200 OK", *own_fields(r), b"Content-Length: 0")),
+        ("success of another request", lambda r: head(b"200 OK", b"X-Fescuechute-Request-Id: x", own_fields(r)[1], b"Content-Length: 19") + b"id: 2\ndata: wrong\n\n"),
+    ],
+)  # fmt: skip
+def test_error_of_the_next_replica_does_not_enter_a_stream(system, name, second):
+    """Guards against error texts within a stream, and streams that end as if they were complete."""
+
+    def script(request):
+        if request.attempts:
+            return [second(request), b""]
+        first = stream(request)
+        return [first[: first.index(event(2))], b""]
+
+    system.replica.script = script
+    request_id, status, body, whole = system.send("/s/x")
+    assert system.replica.attempts(request_id) == 2
+    assert (status, body, whole) == (200, event(1), False), name
+
+
+@pytest.mark.parametrize("fields", [[], [b"X-Fescuechute-Response-Seal: seal"]])
+def test_stream_without_seal_or_events_is_not_a_success(single, fields):
+    """Guards against a success that no replica has sealed, and against an empty stream."""
+    body = b"" if fields else event(1)
+    single.replica.script = lambda request: [
+        head(b"200 OK", own_fields(request)[0], *fields, b"Content-Length: %d" % len(body)) + body
+    ]
+    _, status, _, whole = single.send("/s/x")
+    assert status in (502, 504)
+    assert whole
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+def test_response_cut_off_at_any_byte_is_never_whole(system, kind, kept):
+    """Guards against an empty or short body that is framed as a whole one."""
+    path, cut = PATHS[kind], 0
+
+    def script(request):
+        data = complete(request)[0]
+        return [data[:cut], b""] if not request.attempts and not warming_up else [data]
+
+    system.replica.script = script
+    warming_up = True
+    request_id, *_ = system.send(path)
+    length = len(complete(system.replica.received[-1])[0])
+    for cut in range(length):
+        warming_up = True
+        if kept:
+            assert system.send(path)[1] == 200
+        warming_up = False
+        request_id, status, body, whole = system.send(path)
+        assert status not in (408, 421, 429, 503), cut
+        if status == 200 and whole:
+            assert body == WHOLE[path], cut
+        elif status == 200:
+            assert kind == "stream"
+            assert WHOLE_STREAM.startswith(body), cut
+        if kind == "booking":
+            assert system.replica.attempts(request_id) == 1
+            assert status == 502
+
+
+@pytest.mark.parametrize("kind", PATHS)
+def test_response_split_at_any_byte_is_whole(single, kind):
+    """Guards against responses that are understood only if they arrive in one piece."""
+    path, split = PATHS[kind], 0
+
+    def script(request):
+        data = complete(request)[0]
+        return _PausedParts([data[:split], data[split:]])
+
+    single.send(path)
+    length = len(complete(single.replica.received[-1])[0])
+    single.replica.script = script
+    for split in range(1, length):
+        request_id, *answer = single.send(path)
+        assert answer == [200, WHOLE[path], True], split
+        assert single.replica.attempts(request_id) == 1
+
+
+class _PausedParts(list):
+    """Parts of a response with a pause between them."""
+
+    def __iter__(self):
+        for part in super().__iter__():
+            yield part
+            time.sleep(_SPLIT_PAUSE_S)
+
+
+def test_foreign_response_costs_at_most_one_attempt(system):
+    """Guards against a client that loses its retries to bytes that belong to another request."""
+    system.replica.script = lambda request: (
+        complete(request)
+        if request.attempts
+        else [plain(request).replace(request.id, b"other"), b""]
+    )
+    request_id, *answer = system.send("/a/x")
+    assert answer == [200, WHOLE["/a/x"], True]
+    assert system.replica.attempts(request_id) == 2
