Let gateways prefer a subset of engines and report loads at the rate asked for

Change: `SubsetSelector` divides the replicas of a service into near ones (own region, 12 to 48, by rendezvous hashing) and far ones. Near engines report each 100 ms, far ones each second; four stagers count the gateways and answer with the number alone. Arrivals from other gateways are estimated from their rate and the age of the report; the best of a random third of the free replicas is chosen. Far replicas are used when no near one can start within 0.2 s. Requests in flight at a replica stay within the gateway's share of its connections.

--- a/fescuechute/gateway/__init__.py
+++ b/fescuechute/gateway/__init__.py
@@ -13,6 +13,8 @@
     mean_service_time_s,
     prefill_s,
 )
+from fescuechute.gateway._loads import LoadListener
+from fescuechute.gateway._subset import Subset, SubsetSelector
 from fescuechute.gateway._transfer import Transfer
 from fescuechute.gateway._upstreams import UpstreamRow, UpstreamTable
 from fescuechute.gateway._versions import VersionTable
@@ -26,8 +28,11 @@
     "Dispatcher",
     "FirstEventModel",
     "GatewayDaemon",
+    "LoadListener",
     "Requirements",
     "Shortage",
+    "Subset",
+    "SubsetSelector",
     "Transfer",
     "UpstreamRow",
     "UpstreamTable",
--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -2,19 +2,34 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import math
+from collections import defaultdict
+from collections.abc import Callable, Sequence
 from random import Random
+from typing import NamedTuple
 
 import attrs
 
 from fescuechute.catalog import Service
 from fescuechute.gateway._latency_model import FirstEventModel
-from fescuechute.gateway._upstreams import UpstreamRow, UpstreamTable
+from fescuechute.gateway._send_rate import SendRate
+from fescuechute.gateway._subset import SubsetSelector
+from fescuechute.gateway._upstreams import UpstreamRow
 from fescuechute.gateway._versions import VersionTable
 
-#: Cost in seconds of a replica in another data centre of the region, and in another region.
+#: Cost in seconds of a replica in another data centre of the region, and in another region. All
+#: traffic between two regions shares one link, so a replica of the own region is preferred although
+#: it starts somewhat later.
 OTHER_DATA_CENTRE_S = 0.002
-OTHER_REGION_S = 0.004
+OTHER_REGION_S = 0.03
+#: Cost in seconds of the best near replica from which on far ones are considered as well.
+SPILL_COST_S = 0.2
+#: Share of the eligible replicas among which the best one is chosen, and their minimum number.
+SAMPLE_SHARE = 1 / 3
+MIN_SAMPLE = 3
+#: Share of the connections that a replica accepts which all gateways together use. A replica accepts
+#: fewer while its queue is long.
+CONNECTION_SHARE = 0.8
 #: Requests that an engine may hold beyond its slots, by rank; ranks beyond the table use the last
 #: value. Each request delays the first events of all others, so less urgent ones leave slots free.
 SLOT_OVERCOMMIT_BY_RANK = (3, 0, -2)
@@ -65,8 +80,7 @@
     version: int
 
 
-@attrs.frozen
-class _Candidate:
+class Candidate(NamedTuple):
     """An eligible replica with its cost in seconds."""
 
     row: UpstreamRow
@@ -74,67 +88,94 @@
 
 
 class Chooser:
-    """Chooses among the registered replicas."""
+    """Chooses among the registered replicas, near ones before far ones.
+
+    Args:
+      subsets: Decides which replicas are near.
+      versions: Declared versions of the weights.
+      data_centre: Data centre of the gateway.
+      region: Region of the gateway.
+      gateway_count: Returns the number of gateways presumed running, including this one.
+      rng: Seeded random number generator.
+    """
 
     def __init__(
         self,
-        upstreams: UpstreamTable,
+        subsets: SubsetSelector,
         versions: VersionTable,
         data_centre: str,
         region: str,
+        gateway_count: Callable[[], int],
         rng: Random,
     ):
-        self._upstreams = upstreams
+        self._subsets = subsets
         self._versions = versions
         self._data_centre = data_centre
         self._region = region
+        self._gateway_count = gateway_count
         self._rng = rng
+        self._send_rates: dict[str, SendRate] = defaultdict(SendRate)
 
     def choose(self, requirements: Requirements, now: float) -> Choice | None:
-        """Returns the eligible replica with the lowest cost, or None if there is none."""
-        shortage, candidates = self._candidates(requirements, now)
-        if not candidates:
+        """Returns the best eligible replica, or None if there is none.
+
+        Far replicas are considered if no near one can start the request soon.
+        """
+        evaluation = self._evaluation(requirements, now)
+        subset = self._subsets.subset(requirements.service.name)
+        candidates = evaluation.candidates(subset.near)
+        best = self._cheapest(candidates)
+        if subset.far and (best is None or best.cost_s > SPILL_COST_S):
+            candidates = candidates + evaluation.candidates(subset.far)
+            best = self._cheapest(candidates)
+        if best is None:
             return None
-        best = min(candidates, key=lambda candidate: (candidate.cost_s, self._rng.random()))
-        version = best.row.versions.get(requirements.model) if shortage.version else None
+        version = best.row.versions.get(requirements.model) if evaluation.required else None
         return Choice(best.row, best.cost_s, version, len(candidates))
 
+    def record_send(self, service: str, now: float) -> None:
+        """Records that a request was sent to a replica of a service."""
+        self._send_rates[service].record(now)
+
     def shortage(self, requirements: Requirements, now: float) -> Shortage:
         """Returns the number of replicas left by each condition, for the log line of a refusal."""
-        return self._candidates(requirements, now)[0]
-
-    def _candidates(
-        self, requirements: Requirements, now: float
-    ) -> tuple[Shortage, list[_Candidate]]:
-        """Returns the number of replicas left by each condition, and those left by all of them."""
-        model, service = requirements.model, requirements.service
-        known = self._upstreams.ready_replicas(service.name)
-        up = [
-            row
-            for row in known
-            if now >= row.backoff_until and row.instance not in requirements.excluded
-        ]
-        required = self._versions.required_version(model, now) if model else 0
-        max_requests = self._max_requests(requirements)
-        estimate_s = self._make_estimate(requirements)
-        able = 0
-        candidates = []
-        for row in up:
-            is_free = row.estimated_in_flight < max_requests
-            if service.engine is not None:
-                if row.loading or row.versions.get(model, -1) < max(required, 1):
-                    continue
-                # Whether the version is still allowed depends on the time of the start.
-                cost_s = self._cost(row, estimate_s, now)
-                if row.versions[model] < self._versions.required_version(model, now + cost_s):
-                    continue
-            elif is_free:
-                cost_s = self._cost(row, estimate_s, now)
-            able += 1
-            if is_free:
-                candidates.append(_Candidate(row, cost_s))
-        shortage = Shortage(len(known), len(up), able, len(candidates), required)
-        return shortage, candidates
+        evaluation = self._evaluation(requirements, now)
+        subset = self._subsets.subset(requirements.service.name)
+        rows = (*subset.near, *subset.far)
+        free = len(evaluation.candidates(rows))
+        return Shortage(len(rows), evaluation.up, evaluation.able, free, evaluation.required)
+
+    def connections_per_replica(self, service: Service) -> int:
+        """Returns the connections to a replica that are this gateway's share of its limit."""
+        share = CONNECTION_SHARE * service.max_connections / max(1, self._gateway_count())
+        return max(1, int(share))
+
+    def _cheapest(self, candidates: list[Candidate]) -> Candidate | None:
+        """Returns the candidate with the lowest cost among a random sample.
+
+        Other gateways have the same reports and would all choose the same replica otherwise.
+        """
+        size = max(MIN_SAMPLE, math.ceil(len(candidates) * SAMPLE_SHARE))
+        if size < len(candidates):
+            candidates = self._rng.sample(candidates, size)
+        return min(
+            candidates,
+            key=lambda candidate: (candidate.cost_s, self._rng.random()),
+            default=None,
+        )
+
+    def _evaluation(self, requirements: Requirements, now: float) -> _Evaluation:
+        service = requirements.service
+        near_count = len(self._subsets.subset(service.name).near)
+        return _Evaluation(
+            requirements,
+            self._versions,
+            self._data_centre,
+            self._region,
+            self.connections_per_replica(service),
+            self._send_rates[service.name].per_s(now) / max(1, near_count),
+            now,
+        )
 
     def cancel_unstarted_at(self, row: UpstreamRow, model: str) -> float:
         """Returns the unix seconds at which attempts not yet started at a replica are cancelled."""
@@ -144,31 +185,83 @@
             else float("inf")
         )
 
-    @staticmethod
-    def _max_requests(requirements: Requirements) -> int:
-        """Returns the number of requests at which a replica is full for this rank."""
-        engine = requirements.service.engine
-        if engine is None:
-            return requirements.service.max_connections
-        return (
-            engine.slots
-            + SLOT_OVERCOMMIT_BY_RANK[min(requirements.rank, len(SLOT_OVERCOMMIT_BY_RANK) - 1)]
-        )
 
-    @staticmethod
-    def _make_estimate(requirements: Requirements) -> Callable[[UpstreamRow], float]:
-        """Returns a function that estimates the seconds until a replica starts to respond."""
-        engine = requirements.service.engine
+class _Evaluation:
+    """Evaluation of replicas for one request.
+
+    Args:
+      requirements: Requirements of the request.
+      versions: Declared versions of the weights.
+      data_centre: Data centre of the gateway.
+      region: Region of the gateway.
+      max_own: Requests that this gateway may have in flight at a replica.
+      sends_per_s: Mean rate at which this gateway sends requests to one replica.
+      now: Unix seconds.
+    """
+
+    def __init__(
+        self,
+        requirements: Requirements,
+        versions: VersionTable,
+        data_centre: str,
+        region: str,
+        max_own: int,
+        sends_per_s: float,
+        now: float,
+    ):
+        self._requirements = requirements
+        self._versions = versions
+        self._data_centre = data_centre
+        self._region = region
+        self._max_own = max_own
+        self._sends_per_s = sends_per_s
+        self._now = now
+        model, engine = requirements.model, requirements.service.engine
+        #: Oldest version that may be sent to now, 0 for any.
+        self.required = versions.required_version(model, now) if model else 0
+        #: Replicas that were not excluded, and those of them that may run the request.
+        self.up = self.able = 0
+        self._estimate = (
+            None if engine is None else FirstEventModel(engine, requirements.prompt_tokens)
+        )
+        self._max_requests = float("inf")
         if engine is not None:
-            return FirstEventModel(engine, requirements.prompt_tokens).seconds
-        return lambda row: row.estimated_in_flight / max(1, row.entry.slots) * FULL_LOAD_COST_S
+            rank = min(requirements.rank, len(SLOT_OVERCOMMIT_BY_RANK) - 1)
+            self._max_requests = engine.slots + SLOT_OVERCOMMIT_BY_RANK[rank]
+
+    def candidates(self, rows: Sequence[UpstreamRow]) -> list[Candidate]:
+        """Returns the eligible replicas among the given ones, and counts those of each condition."""
+        now, model = self._now, self._requirements.model
+        excluded = self._requirements.excluded
+        is_engine = self._estimate is not None
+        oldest = max(self.required, 1)
+        candidates = []
+        for row in rows:
+            if now < row.backoff_until or row.instance in excluded:
+                continue
+            self.up += 1
+            if is_engine and (row.loading or row.versions.get(model, -1) < oldest):
+                continue
+            in_flight = row.estimated_in_flight(now, self._sends_per_s)
+            cost_s = self._cost_s(row, in_flight)
+            # Whether the version is still allowed depends on the time of the start.
+            if is_engine and row.versions[model] < self._versions.required_version(
+                model, now + cost_s
+            ):
+                continue
+            self.able += 1
+            if in_flight < self._max_requests and row.in_flight < self._max_own:
+                candidates.append(Candidate(row, cost_s))
+        return candidates
 
-    def _cost(
-        self, row: UpstreamRow, estimate_s: Callable[[UpstreamRow], float], now: float
-    ) -> float:
+    def _cost_s(self, row: UpstreamRow, in_flight: float) -> float:
+        if self._estimate is not None:
+            estimate_s = self._estimate.seconds(row, in_flight)
+        else:
+            estimate_s = in_flight / max(1, row.entry.slots) * FULL_LOAD_COST_S
         # The wait observed at the replica overrides a lower estimate: behind a slow link, the
         # reported load and step time are out of date.
-        cost_s = max(estimate_s(row), row.oldest_wait_s(now))
+        cost_s = max(estimate_s, row.oldest_wait_s(self._now))
         if row.region != self._region:
             cost_s += OTHER_REGION_S
         elif row.entry.data_centre != self._data_centre:
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -16,6 +16,7 @@
 from fescuechute.gateway._choice import Chooser
 from fescuechute.gateway._dispatch import Dispatcher
 from fescuechute.gateway._loads import LoadListener
+from fescuechute.gateway._subset import SubsetSelector
 from fescuechute.gateway._transfer import Transfer
 from fescuechute.gateway._upstreams import REREGISTRATION_WINDOW_S, UpstreamTable
 from fescuechute.gateway._versions import VersionTable
@@ -72,10 +73,13 @@
         self.readiness = ClientServer(self.clock, self._handle_readiness, count, "readiness")
         for owner in (self.upstream_client, self.callers, self.readiness):
             self.loop.add(owner)
+        subsets = SubsetSelector(self.process_id, cfg.region, self.upstreams)
         self.load_listener = LoadListener(
-            self.process_id, cfg.ip, cfg.peer_port, self.upstreams, self.datagrams.send
+            self.process_id, cfg.ip, cfg.peer_port, self.upstreams, subsets, self.datagrams.send
+        )
+        chooser = Chooser(
+            subsets, self.versions, cfg.data_centre, cfg.region, self._gateway_count, self.rng
         )
-        chooser = Chooser(self.upstreams, self.versions, cfg.data_centre, cfg.region, self.rng)
         self.dispatcher = Dispatcher(
             self.upstream_client,
             chooser,
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -91,8 +91,8 @@
         """Sends an attempt to its replica."""
         row = attempt.choice.row
         row.in_flight += 1
-        row.sent_since_report += 1
         now = self.now()
+        self._chooser.record_send(transfer.service.name, now)
         row.unstarted[attempt] = now
         if transfer.streaming:
             attempt.pending_prompt_tokens = transfer.meta.prompt_tokens
@@ -104,7 +104,7 @@
             upstream=row.instance,
             expected_ms=round(attempt.choice.cost_s * 1000),
             own=row.in_flight,
-            others=row.estimated_in_flight - row.in_flight,
+            others=row.other_in_flight,
             report_age_ms=round((now - row.reported_at) * 1000) if row.reported_at else None,
             candidates=attempt.choice.candidates,
             version=attempt.choice.version,
@@ -150,7 +150,7 @@
             id=transfer.meta.request_id,
             upstream=row.instance,
             failed_share=round(row.failed_share, 2),
-            others=row.estimated_in_flight - row.in_flight,
+            others=row.other_in_flight,
         )
 
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
--- a/fescuechute/gateway/_loads.py
+++ b/fescuechute/gateway/_loads.py
@@ -1,27 +1,37 @@
-"""Receives the loads of engines, each reported by the agent on the engine's VM."""
+"""Receives the loads of engines, each reported by the stager on the engine's VM."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from fescuechute.catalog import EngineReport, LoadedModel
+from fescuechute.gateway._subset import SubsetSelector
 from fescuechute.gateway._upstreams import UpstreamTable
+from fescuechute.membership import duty_holders
 from fescuechute.wire import Gateways, Greet, Load, Message
 
-#: Seconds between greetings to an agent.
-GREET_INTERVAL_S = 1.0
-#: Seconds after which a gateway that no agent has reported counts as gone.
-GATEWAY_TTL_S = 3.0
+#: Seconds between greetings to the stagers of near engines, and of far ones.
+NEAR_GREET_INTERVAL_S = 1.0
+FAR_GREET_INTERVAL_S = 2.0
+#: Shortest milliseconds between the reports of a near engine, and of a far one.
+NEAR_REPORT_INTERVAL_MS = 100
+FAR_REPORT_INTERVAL_MS = 1000
+#: Stagers that count all gateways. Several, so that the count outlasts the loss of some.
+COUNTING_STAGERS = 4
+#: Seconds for which a count is used. A count that is too high for some time keeps the shares of all
+#: gateways small, which is safe.
+COUNT_TTL_S = 10.0
 
 
 class LoadListener:
-    """Greets the agents of engines and applies the loads that they send back.
+    """Greets the stagers of engines and applies the loads that they send back.
 
     Args:
       process_id: Process id of this gateway.
       ip: Address at which it receives datagrams.
       port: Datagram port, the same on all VMs.
       upstreams: Table of the replicas whose loads are updated.
+      subsets: Decides which engines are near.
       send: Sends a datagram.
     """
 
@@ -31,40 +41,48 @@
         ip: str,
         port: int,
         upstreams: UpstreamTable,
+        subsets: SubsetSelector,
         send: Callable[[tuple[str, int], Message], None],
     ):
-        self._greeting = Greet(process_id, ip, port)
+        self._process_id = process_id
+        self._ip = ip
         self._port = port
         self._upstreams = upstreams
+        self._subsets = subsets
         self._send = send
         self._next_greet_at = 0.0
-        #: Unix seconds at which each gateway stops counting as running, by process id.
-        self._gateway_expiry: dict[str, float] = {}
+        self._next_far_greet_at = 0.0
+        #: Latest count of each counting stager and the unix seconds at which it expires, by address.
+        self._counts: dict[str, tuple[int, float]] = {}
 
     def gateway_count(self, now: float) -> int:
         """Returns the number of gateways presumed running, including this one."""
-        other_ids = [
-            process_id
-            for process_id, expires_at in self._gateway_expiry.items()
-            if expires_at > now and process_id != self._greeting.process_id
-        ]
-        return len(other_ids) + 1
+        return max((count for count, until in self._counts.values() if until > now), default=1)
 
     def tick(self, now: float) -> None:
-        """Greets the agents of all known engines when the interval has passed."""
+        """Greets the stagers to which a greeting is due."""
         if now < self._next_greet_at:
             return
-        self._next_greet_at = now + GREET_INTERVAL_S
-        for ip in {row.entry.address.ip for row in self._upstreams if row.entry.models}:
-            self._send((ip, self._port), self._greeting)
+        self._next_greet_at = now + NEAR_GREET_INTERVAL_S
+        self._counts = {ip: known for ip, known in self._counts.items() if known[1] > now}
+        near = self._subsets.near_engine_ips()
+        ips = {row.entry.address.ip for row in self._upstreams if row.entry.models}
+        counting = set(duty_holders("gateways", ips, COUNTING_STAGERS))
+        due = near | counting
+        if now >= self._next_far_greet_at:
+            self._next_far_greet_at = now + FAR_GREET_INTERVAL_S
+            due = ips
+        for ip in due & ips:
+            interval_ms = NEAR_REPORT_INTERVAL_MS if ip in near else FAR_REPORT_INTERVAL_MS
+            greeting = Greet(self._process_id, self._ip, self._port, interval_ms, ip in counting)
+            self._send((ip, self._port), greeting)
 
-    def receive(self, _sender: tuple[str, int], msg: Message, now: float) -> None:
-        """Applies a message from an agent."""
+    def receive(self, sender: tuple[str, int], msg: Message, now: float) -> None:
+        """Applies a message from a stager."""
         if isinstance(msg, Load):
             self._apply_load(msg, now)
         elif isinstance(msg, Gateways):
-            for process_id, _ip, _port in msg.known:
-                self._gateway_expiry[process_id] = now + GATEWAY_TTL_S
+            self._counts[sender[0]] = (msg.count, now + COUNT_TTL_S)
 
     def _apply_load(self, msg: Load, now: float) -> None:
         row = self._upstreams.at_address(msg.ip, msg.port)
@@ -76,5 +94,5 @@
                 models, msg.loading, 0, msg.waiting, msg.running, 0, 0, msg.pace, msg.born_ms
             ),
             now,
-            self.gateway_count(now) - 1,
+            msg.near_gateways - self._subsets.is_near(row),
         )
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -19,6 +19,8 @@
 #: A request counts as lost if one of the same or a less urgent rank that was sent at least this
 #: many seconds later has started: engines start requests of one rank in the order of arrival.
 OVERTAKE_TOLERANCE_S = 0.5
+#: Longest time since the last report for which arrivals from other gateways are estimated.
+MAX_EXTRAPOLATED_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -39,9 +41,9 @@
     newest_started_sent_at: dict[int, float] = attrs.field(factory=dict)
     #: Requests of other gateways: all requests in the last report less those of this gateway.
     other_in_flight: int = 0
-    #: Requests that this gateway has sent since the last report.
-    sent_since_report: int = 0
-    #: Number of other gateways that receive the same reports.
+    #: Those of them that the engine had not started.
+    other_waiting: int = 0
+    #: Number of other gateways that use the replica before others.
     other_gateway_count: int = 0
     #: Unix seconds of the last report, 0 before the first.
     reported_at: float = 0.0
@@ -65,23 +67,20 @@
         """Instance id of the replica."""
         return self.entry.instance
 
-    @property
-    def estimated_in_flight(self) -> int:
-        """Estimated requests of all gateways in flight at the replica.
+    def estimated_in_flight(self, now: float, sends_per_s: float = 0.0) -> float:
+        """Returns the estimated requests of all gateways in flight at the replica.
 
-        The other gateways receive the same reports and choose alike, so each is assumed to have
-        sent as many requests since the last report as this one.
+        Args:
+          now: Unix seconds.
+          sends_per_s: Mean rate at which a gateway sends requests to one replica. The other gateways
+            are assumed to have sent at this rate since the last report; what this gateway happened to
+            send says nothing about them.
         """
-        return (
-            self.in_flight
-            + self.other_in_flight
-            + self.sent_since_report * self.other_gateway_count
-        )
-
-    @property
-    def total_pending_prompt_tokens(self) -> int:
-        """Estimated prompt tokens of all gateways that the engine has yet to prefill."""
-        return self.pending_prompt_tokens * (1 + self.other_gateway_count)
+        known = self.in_flight + self.other_in_flight
+        if not self.reported_at:
+            return known
+        age_s = min(MAX_EXTRAPOLATED_S, max(0.0, now - self.reported_at))
+        return known + self.other_gateway_count * sends_per_s * age_s
 
     def record_start(self, attempt: object, rank: int, now: float) -> None:
         """Records that the response to an attempt has started."""
@@ -116,7 +115,7 @@
     def apply_report(self, report: EngineReport, now: float, other_gateway_count: int = 0) -> None:
         """Applies a load report of the engine."""
         self.other_in_flight = max(0, report.running + report.waiting - self.in_flight)
-        self.sent_since_report = 0
+        self.other_waiting = max(0, report.waiting - len(self.unstarted))
         self.other_gateway_count = other_gateway_count
         self.reported_at = now
         self.relative_step_time = report.relative_step_time
@@ -152,6 +151,8 @@
         self._by_service: dict[str, list[UpstreamRow]] = {}
         #: Replicas at each IP address and port; more than one after an address was used again.
         self._by_address: dict[tuple[str, int], list[UpstreamRow]] = {}
+        #: Increases when the ready replicas of a service change.
+        self.generation = 0
 
     def __iter__(self) -> Iterator[UpstreamRow]:
         return iter(self._rows.values())
@@ -164,6 +165,10 @@
         """Returns the replicas of a service that are in the state `READY`."""
         return self._by_service.get(service, [])
 
+    def services(self) -> list[str]:
+        """Returns the services with ready replicas."""
+        return [service for service, rows in self._by_service.items() if rows]
+
     def register(self, entry: Registration) -> bool:
         """Applies a registry entry; returns whether the replica is new or was restarted."""
         row = self._rows.get(entry.instance)
@@ -178,6 +183,8 @@
             self._rows[entry.instance] = row
         else:
             row.expires_at = None
+            if entry == row.entry:
+                return False
             if entry.models != row.entry.models:
                 row.versions = {model.name: model.version for model in entry.models}
             self._unindex(row)
@@ -222,6 +229,7 @@
         address = row.entry.address
         self._by_address.setdefault((address.ip, address.port), []).append(row)
         if row.entry.state is UpstreamState.READY:
+            self.generation += 1
             self._by_service.setdefault(row.entry.service, []).append(row)
 
     def _unindex(self, row: UpstreamRow) -> None:
@@ -232,4 +240,5 @@
             del self._by_address[address.ip, address.port]
         rows = self._by_service.get(row.entry.service, [])
         if row in rows:
+            self.generation += 1
             rows.remove(row)
--- a/fescuechute/stager/_load_reporter.py
+++ b/fescuechute/stager/_load_reporter.py
@@ -1,19 +1,41 @@
-"""Sends the load of the engine on this VM to the gateways."""
+"""Sends the load of the engine on this VM to the gateways, to each at the rate that it asks for."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import attrs
+
 from fescuechute.catalog import EngineReport
 from fescuechute.checks import Address
 from fescuechute.wire import Gateways, Greet, Load, Message
 
-#: Seconds between two messages to a gateway: the minimum, and the maximum while the load does not
-#: change.
+#: Shortest interval in seconds that a gateway may ask for. One that asks for it uses this engine
+#: before others.
 MIN_INTERVAL_S = 0.1
-MAX_INTERVAL_S = 0.5
+#: Intervals after which a report is repeated although the load has not changed.
+REPEAT_INTERVALS = 5
+#: Longest time in seconds until a report is repeated.
+MAX_REPEAT_S = 2.0
 #: Seconds after its last Greet message at which the subscription of a gateway expires.
-SUBSCRIPTION_TTL_S = 3.0
+SUBSCRIPTION_TTL_S = 5.0
+
+
+@attrs.define
+class _Subscription:
+    """A gateway that receives reports; times are unix seconds."""
+
+    address: tuple[str, int]
+    interval_s: float
+    wants_count: bool
+    expires_at: float
+    sent_at: float = 0.0
+    sent: Load | None = None
+
+    def is_due(self, load: Load, now: float) -> bool:
+        """Returns whether a report is due."""
+        repeat_s = min(MAX_REPEAT_S, REPEAT_INTERVALS * self.interval_s)
+        return now >= self.sent_at + (self.interval_s if load != self.sent else repeat_s)
 
 
 class LoadReporter:
@@ -27,27 +49,33 @@
     def __init__(self, engine: Address, send: Callable[[tuple[str, int], Message], None]):
         self._engine = engine
         self._send = send
-        #: Address of each gateway and the unix seconds at which it expires, by process id.
-        self._gateways: dict[str, tuple[tuple[str, int], float]] = {}
-        self._last_load: Load | None = None
-        self._sent_at = 0.0
+        #: Subscriptions by process id.
+        self._subscriptions: dict[str, _Subscription] = {}
 
     def receive(self, msg: Message, now: float) -> None:
-        """Renews the subscription of a gateway and replies with all subscribed gateways."""
+        """Renews the subscription of a gateway; replies with the number of gateways if asked."""
         if not isinstance(msg, Greet):
             return
         address = (msg.ip, msg.port)
-        self._gateways[msg.process_id] = (address, now + SUBSCRIPTION_TTL_S)
-        known = tuple(
-            (process_id, *known_address)
-            for process_id, (known_address, expires_at) in self._gateways.items()
-            if expires_at > now
-        )
-        self._send(address, Gateways(known))
+        expires_at = now + SUBSCRIPTION_TTL_S
+        interval_s = max(MIN_INTERVAL_S, msg.interval_ms / 1000)
+        subscription = self._subscriptions.get(msg.process_id)
+        if subscription is None:
+            subscription = _Subscription(address, interval_s, msg.wants_count, expires_at)
+            self._subscriptions[msg.process_id] = subscription
+        subscription.address, subscription.interval_s = address, interval_s
+        subscription.wants_count, subscription.expires_at = msg.wants_count, expires_at
+        if msg.wants_count:
+            counted = sum(
+                s.wants_count and s.expires_at > now for s in self._subscriptions.values()
+            )
+            self._send(address, Gateways(counted))
 
     def tick(self, report: EngineReport | None, now: float) -> None:
-        """Sends the load when it has changed or was last sent MAX_INTERVAL_S ago."""
-        if report is None or now < self._sent_at + MIN_INTERVAL_S:
+        """Sends the load to each gateway to which a report is due."""
+        for process_id in [id_ for id_, s in self._subscriptions.items() if s.expires_at <= now]:
+            del self._subscriptions[process_id]
+        if report is None or not self._subscriptions:
             return
         load = Load(
             self._engine.ip,
@@ -58,12 +86,9 @@
             report.loading,
             tuple((model.name, model.version) for model in report.models),
             report.born_ms,
+            sum(s.interval_s <= MIN_INTERVAL_S for s in self._subscriptions.values()),
         )
-        if load == self._last_load and now < self._sent_at + MAX_INTERVAL_S:
-            return
-        self._last_load, self._sent_at = load, now
-        for process_id, (address, expires_at) in list(self._gateways.items()):
-            if expires_at <= now:
-                del self._gateways[process_id]
-            else:
-                self._send(address, load)
+        for subscription in self._subscriptions.values():
+            if subscription.is_due(load, now):
+                subscription.sent, subscription.sent_at = load, now
+                self._send(subscription.address, load)
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -7,7 +7,7 @@
 import attrs
 
 #: Sent in every Hello. Must be increased whenever the fields of a message change.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @attrs.frozen
@@ -260,14 +260,18 @@
     #: Address at which the gateway receives datagrams.
     ip: str
     port: int
+    #: Shortest time between two reports, in milliseconds.
+    interval_ms: int
+    #: Whether the gateway asks for the number of gateways.
+    wants_count: bool
 
 
 @attrs.frozen
 class Gateways(Message):
-    """Tells a gateway which gateways have recently sent a Greet, the receiver included."""
+    """Tells a gateway how many gateways are running."""
 
-    #: (process id, IP address, port) of each gateway.
-    known: tuple[tuple[str, str, int], ...]
+    #: Number of gateways that have recently asked for it, the receiver included.
+    count: int
 
 
 @attrs.frozen
@@ -287,6 +291,8 @@
     versions: tuple[tuple[str, int], ...]
     #: Start time of the engine in unix milliseconds.
     born_ms: int
+    #: Number of gateways that use this engine before others, the receiver included if it does.
+    near_gateways: int
 
 
 @attrs.frozen
