Keep idle connections to a replica within the gateway's share

Cause: a gateway kept up to 24 idle connections to each replica, whatever the replica's limit and the number of gateways are; 35 gateways keep 840 of 552 that an engine of the large site accepts.

Change: a connection is closed instead of kept when the active and idle ones to its upstream reach the share that the chooser gives.

Measured: tests/forwarding and tests/gateway, 123 passed.

--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import Protocol
 
@@ -86,6 +86,8 @@
     #: Unix seconds by which the connection must be established.
     connect_deadline: float
     conn: Connection
+    #: Connections to the upstream, active and idle, above which this one is not kept.
+    max_connections: int = _MAX_IDLE_CONNECTIONS
     protocol: h11.Connection = attrs.field(factory=lambda: h11.Connection(h11.CLIENT))
     #: Whether bytes of the request may have reached the upstream.
     sent: bool = False
@@ -130,6 +132,8 @@
         self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
         #: Calls whose connection is not yet established.
         self._connecting: set[UpstreamCall] = set()
+        #: Number of calls in flight by upstream.
+        self._active: Counter[str] = Counter()
         #: Total number of connections opened.
         self.connections_opened = 0
 
@@ -143,6 +147,7 @@
         *,
         connect_timeout_s: float,
         max_idle_s: float = float("inf"),
+        max_connections: int = _MAX_IDLE_CONNECTIONS,
     ) -> UpstreamCall:
         """Starts a call.
 
@@ -157,6 +162,7 @@
           max_idle_s: Longest idle time of a pooled connection to use, in seconds. The upstream may
             be closing one that was idle for longer, and a request lost in that race may or may not
             have been executed.
+          max_connections: Connections to the upstream above which none is kept when it becomes idle.
         """
         now = self._clock.now()
         conn = self._pop_idle(key, now, max_idle_s)
@@ -164,8 +170,11 @@
         if conn is None:
             conn = self.open_connection(address.ip, address.port)
             self.connections_opened += 1
-        call = UpstreamCall(key, request, listener, matches_request, now + connect_timeout_s, conn)
+        call = UpstreamCall(
+            key, request, listener, matches_request, now + connect_timeout_s, conn, max_connections
+        )
         call.reused = reused
+        self._active[key] += 1
         conn.on_data = lambda data: self._on_data(call, data)
         conn.on_closed = lambda reason: self._on_closed(call, reason)
         if reused:
@@ -308,8 +317,13 @@
         protocol, conn = call.protocol, call.conn
         reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         trailing, closed = protocol.trailing_data
+        idle_count = len(self._idle.get(call.key, ()))
+        is_surplus = (
+            idle_count >= _MAX_IDLE_CONNECTIONS
+            or idle_count + self._active[call.key] >= call.max_connections
+        )
         # After unsolicited bytes, later responses could no longer be matched to their requests.
-        if not reusable or trailing or closed or len(self._idle[call.key]) >= _MAX_IDLE_CONNECTIONS:
+        if not reusable or trailing or closed or is_surplus:
             conn.close()
             return
         now = self._clock.now()
@@ -345,3 +359,6 @@
     def _mark_done(self, call: UpstreamCall) -> None:
         call.done = True
         self._connecting.discard(call)
+        self._active[call.key] -= 1
+        if not self._active[call.key]:
+            del self._active[call.key]
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -119,6 +119,7 @@
             transfer.is_own_response,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             max_idle_s=max_idle_s,
+            max_connections=self._chooser.connections_per_replica(transfer.service),
         )
 
     def cancel(self, call: UpstreamCall) -> None:
--- a/tests/forwarding/test_upstreams.py
+++ b/tests/forwarding/test_upstreams.py
@@ -22,7 +22,9 @@
     return header(headers, b"x-id") in (None, b"mine")
 
 
-def start_call(loop, client, upstream, max_idle_s=float("inf")) -> RecordingListener:
+def start_call(
+    loop, client, upstream, max_idle_s=float("inf"), max_connections=24
+) -> RecordingListener:
     listener = RecordingListener()
     loop.call_at(
         0.0,
@@ -34,6 +36,7 @@
             matches_request,
             connect_timeout_s=2.0,
             max_idle_s=max_idle_s,
+            max_connections=max_connections,
         ),
     )
     return listener
@@ -153,3 +156,28 @@
     with running_loop(make_upstream_client) as (loop, client):
         listener = start_call(loop, client, upstream)
         assert listener.next_event() == ("failed", "not_connected")
+
+
+@pytest.mark.parametrize(("max_connections", "kept"), [(1, 1), (2, 2), (24, 3)])
+def test_kept_connections_stay_within_the_limit(max_connections, kept):
+    """Guards against idle connections that use up the connections which a replica accepts."""
+    upstream = RawUpstream()
+    with running_loop(make_upstream_client) as (loop, client):
+        calls = [
+            start_call(loop, client, upstream, max_connections=max_connections) for _ in range(3)
+        ]
+        conns = [upstream.accept() for _ in calls]
+        for conn in conns:
+            read_until(conn, b"body")
+        for conn in conns:
+            conn.sendall(response(b"one"))
+        for call in calls:
+            assert [call.next_event()[0], call.next_event()[0]] == ["head", "end"]
+        closed = 0
+        for conn in conns:
+            conn.settimeout(0.2)
+            try:
+                closed += conn.recv(1) == b""
+            except TimeoutError:
+                continue
+        assert len(conns) - closed == kept
