Read the registry in each region by two gateways and pass changes on

Cause: every process read every heartbeat of every replica from the store.

Change: the registry goes through `RelayedLog` as the operators' records do. Readers poll the store once a second; they pass on records that change a registration, and responses say up to which offset they are complete and when the store last failed, so that entries that lapsed in an outage are kept everywhere. Other processes wait at the readers.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -104,6 +104,8 @@
         self.earliest_appended_at: float | None = None
         #: How the latest response with records arrived.
         self.delivery = Delivery()
+        #: Unix seconds at which the log last failed, as seen by this process or by its source.
+        self.failed_at = float("-inf")
         #: Number of calls started.
         self.calls = 0
 
@@ -152,6 +154,8 @@
         self._handle(outcome)
         if not isinstance(outcome, Failure) and self._consecutive_failures:
             self._consecutive_failures = 0
+            # The log may have become available again only just now.
+            self.failed_at = self._now()
             self._on_availability("")
 
     @singledispatchmethod
@@ -166,6 +170,7 @@
             self._snapshot_end = outcome.end
             self._snapshot_confirmed_at = self._call_started_at + outcome.confirmed_after_s
             self._snapshot_keys.clear()
+        self._note_failure(outcome)
         self.earliest_appended_at = self.confirmed_at
         self.delivery = outcome.delivery
         for record in outcome.records:
@@ -184,12 +189,20 @@
     def _(self, outcome: RecordBatch) -> None:
         self.earliest_appended_at = self._appended_after(outcome)
         self.delivery = outcome.delivery
+        self._note_failure(outcome)
         for record in outcome.records:
             self._on_record(record)
             self._next_offset = record.offset + 1
+        if outcome.compacted and self._next_offset is not None:
+            self._next_offset = max(self._next_offset, outcome.end)
         if self._next_offset is not None and self._next_offset >= outcome.end:
             self._confirm(self._call_started_at + outcome.confirmed_after_s)
 
+    def _note_failure(self, outcome: SnapshotPage | RecordBatch) -> None:
+        if outcome.failed_after_s is not None:
+            failed_at = self._call_started_at + outcome.failed_after_s
+            self.failed_at = max(self.failed_at, failed_at)
+
     def _confirm(self, confirmed_at: float) -> None:
         # A relay may know less than an earlier response of another source.
         self.confirmed_at = max(confirmed_at, self.confirmed_at or confirmed_at)
@@ -223,6 +236,7 @@
     @_handle.register
     def _(self, outcome: Failure) -> None:
         self._consecutive_failures += 1
+        self.failed_at = self._now()
         self._last_page_key, self._snapshot_end = "", None
         max_delay_s = min(
             BACKOFF_CAP_S, BACKOFF_BASE_S * 2 ** min(self._consecutive_failures - 1, 8)
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -46,6 +46,8 @@
     #: Seconds from the start of the call to the time up to which all records are known; negative if
     #: that time is earlier, as it is in a response of a relay.
     confirmed_after_s: float = 0.0
+    #: The same for the last failure of the log that the source has seen, or None without one.
+    failed_after_s: float | None = None
 
 
 @attrs.frozen
@@ -63,6 +65,10 @@
     appended_after_s: float | None = None
     #: Whether the call waited at the log all the time, so that records came as soon as they were there.
     prompt: bool = True
+    #: The same as `confirmed_after_s` for the last failure of the log that the source has seen.
+    failed_after_s: float | None = None
+    #: Whether records without effect are left out, so that the next read starts at `end`.
+    compacted: bool = False
 
 
 @attrs.frozen
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -27,8 +27,8 @@
     decode_registration,
     decode_request,
 )
-from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayServer
-from fescuechute.runtime import Process
+from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayRouter, RelayServer
+from fescuechute.runtime import REGISTRY_INTERVAL_S, Process
 from fescuechute.wire import Message, RelayOffer, Relays
 
 #: Seconds between ticks; the resolution of deadlines.
@@ -36,8 +36,10 @@
 #: Seconds for which a long poll of the operators' records waits. Keys are accepted for 5 s after
 #: the last successful poll was sent, so a single lost poll must not use up that time.
 OPERATORS_LONG_POLL_S = 1.5
-#: Seconds between reads of the registry; a draining replica must get no new requests after 2 s.
-REGISTRY_INTERVAL_S = 1.0
+#: Seconds for which a call to a relay waits for a change of the registry, and from the start of one
+#: call to the next. Readers call the store each `REGISTRY_INTERVAL_S`.
+REGISTRY_WAIT_S = 1.0
+REGISTRY_FOLLOW_INTERVAL_S = 0.2
 #: Port at which the operators' records are passed on, counted from the peer port of the VM.
 RELAY_PORT_OFFSET = 3
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
@@ -94,7 +96,12 @@
         )
         self.operator_log.relaying = True
         self.relay_server = RelayServer(Topic.OPERATORS, self.operator_log, now, count)
-        self.relay_listener = ClientServer(self.clock, self.relay_server.handle, count, "relay")
+        self.registry_log.relaying = True
+        self.registry_relay = RelayServer(Topic.REGISTRY, self.registry_log, now, count)
+        self.relay_router = RelayRouter(
+            {Topic.OPERATORS: self.relay_server, Topic.REGISTRY: self.registry_relay}
+        )
+        self.relay_listener = ClientServer(self.clock, self.relay_router.handle, count, "relay")
         self.loop.add(self.relay_listener)
         self._relay_address = RelayAddress(
             self.process_id, cfg.ip, cfg.peer_port + RELAY_PORT_OFFSET
@@ -112,12 +119,12 @@
             self.operator_log,
         )
         self.registry_feed = self.make_feed(
-            FeedSettings(Topic.REGISTRY, 0.0, REGISTRY_INTERVAL_S),
+            FeedSettings(Topic.REGISTRY, REGISTRY_WAIT_S, REGISTRY_INTERVAL_S),
             self._on_registration,
             self._on_registry_snapshot,
+            self.registry_log,
         )
         self._started_at = now()
-        self._registry_failed_at = 0.0
         #: Whether any replica was ever known; the registry may be read before replicas are in it.
         self._has_known_replicas = False
         self._accept_until = float("inf")
@@ -136,6 +143,7 @@
         self.readiness.listen(readiness_address.ip, readiness_address.port)
         self.relay_listener.listen(self._relay_address.ip, self._relay_address.port)
         self.relay_server.start(self.operator_feed)
+        self.registry_relay.start(self.registry_feed)
 
     @property
     def ready(self) -> bool:
@@ -148,12 +156,15 @@
     def on_tick(self, now: float) -> None:
         """Advances the feeds, connections, transfers and a drain in progress."""
         self.operator_feed.tick(now)
+        self.registry_feed.set_poll_interval(
+            REGISTRY_INTERVAL_S
+            if self.source_selector.is_reader(now)
+            else REGISTRY_FOLLOW_INTERVAL_S
+        )
         self.registry_feed.tick(now)
-        if self.registry_feed.failing:
-            self._registry_failed_at = now
         for row in self.upstreams.expire(now):
             self._on_upstream_gone(row.instance, "lapsed")
-        self._relay_operator_records(now)
+        self._relay_records(now)
         self.load_listener.tick(now)
         self.upstream_client.tick(now)
         self.callers.tick(now)
@@ -170,8 +181,8 @@
         self._accept_until = now + DRAIN_ACCEPT_S
         self._close_deadline = now + self.settings.service_levels.grace_s * GRACE_SHARE
         self.callers.draining = True
-        self.operator_log.relaying = False
-        self.relay_server.close()
+        self.operator_log.relaying = self.registry_log.relaying = False
+        self.relay_router.close()
 
     def on_settings(self) -> None:
         """Applies a changed `revoke_s`."""
@@ -193,10 +204,10 @@
         ]
         return others if self.stopping else [*others, self._relay_address]
 
-    def _relay_operator_records(self, now: float) -> None:
+    def _relay_records(self, now: float) -> None:
         """Answers other processes of the region, and offers to do so."""
         self.relay_listener.tick(now)
-        self.relay_server.tick(now)
+        self.relay_router.tick(now)
         if self.operator_feed.complete and not self.stopping and self.relay_announcer.is_due(now):
             stager_ips = {
                 row.entry.address.ip
@@ -207,7 +218,7 @@
                 now,
                 stager_ips,
                 is_reader=self.source_selector.is_reader(now),
-                is_current=self.relay_server.is_current(now),
+                is_current=self.relay_router.is_current(now),
             )
 
     def _gateway_count(self) -> int:
@@ -318,11 +329,15 @@
         if entry is None:
             if record.value is not None:
                 self.telemetry.count("registration.invalid")
+            self.registry_relay.add(record)
             self._on_entry_removed(record.key)
             return
         self._has_known_replicas = True
         row = self.upstreams.get(entry.instance)
         previous = row.entry if row is not None else None
+        # Heartbeats that change nothing are not passed on.
+        if row is None or entry != row.entry or row.expires_at is not None:
+            self.registry_relay.add(record)
         if self.upstreams.register(entry) or (previous and previous.state is not entry.state):
             self.telemetry.event(
                 "upstream",
@@ -336,6 +351,7 @@
             self.upstream_client.close_idle(entry.instance)
 
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
+        self.registry_relay.retain(keys)
         for row in list(self.upstreams):
             if row.instance not in keys:
                 self._on_entry_removed(row.instance)
@@ -347,7 +363,7 @@
         """
         # The window starts when the store recovers; an entry that is removed after the window did
         # not expire in the outage.
-        reregister_by = self._registry_failed_at + REREGISTRATION_WINDOW_S
+        reregister_by = self.registry_feed.failed_at + REREGISTRATION_WINDOW_S
         expires_at = reregister_by if self.clock.now() < reregister_by else None
         if self.upstreams.remove(instance, expires_at) is not None:
             self._on_upstream_gone(instance, "withdrawn")
--- a/fescuechute/relay/__init__.py
+++ b/fescuechute/relay/__init__.py
@@ -9,6 +9,7 @@
 from fescuechute.relay._codec import decode_batch, encode_batch
 from fescuechute.relay._directory import RelayDirectory
 from fescuechute.relay._log import RelayedLog
+from fescuechute.relay._router import RelayRouter
 from fescuechute.relay._server import RelayServer
 from fescuechute.relay._sources import STORE, RelayAddress, SourceSelector
 from fescuechute.relay._timing import RelayTiming
@@ -19,6 +20,7 @@
     "RelayAddress",
     "RelayAnnouncer",
     "RelayDirectory",
+    "RelayRouter",
     "RelayServer",
     "RelayTiming",
     "RelayedLog",
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -23,7 +23,11 @@
 
 
 def encode_batch(
-    records: bytes, end: int, confirmed_after_s: float, appended_after_s: float | None
+    records: bytes,
+    end: int,
+    confirmed_after_s: float,
+    appended_after_s: float | None,
+    failed_after_s: float | None = None,
 ) -> bytes:
     """Returns a batch.
 
@@ -33,8 +37,9 @@
       confirmed_after_s: Seconds from the arrival of the call to the time up to which all records are
         known; negative if that time is earlier.
       appended_after_s: The same for the time after which all records were appended; None if unknown.
+      failed_after_s: The same for the last failure of the log; None without one.
     """
-    return msgpack.packb((end, confirmed_after_s, appended_after_s, records))
+    return msgpack.packb((end, confirmed_after_s, appended_after_s, failed_after_s, records))
 
 
 def decode_batch(data: bytes, source: str, transfer_s: float) -> RecordBatch:
@@ -44,7 +49,7 @@
       WireError: The data is no batch.
     """
     try:
-        end, confirmed_after_s, appended_after_s, compressed = msgpack.unpackb(data)
+        end, confirmed_after_s, appended_after_s, failed_after_s, compressed = msgpack.unpackb(data)
         inflater = zlib.decompressobj()
         rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
         if not inflater.eof:
@@ -55,6 +60,8 @@
             Delivery(source, len(data), transfer_s),
             float(confirmed_after_s),
             None if appended_after_s is None else float(appended_after_s),
+            failed_after_s=None if failed_after_s is None else float(failed_after_s),
+            compacted=True,
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -58,6 +58,8 @@
       timing: Time limits.
       now: Returns unix seconds.
       on_source_failed: Called with the name of a source and the reason when it starts to fail.
+      store_waits: Whether calls to the store wait for new records. In a topic with many records, a
+        relay leaves most of them out, while the store would answer each call at once.
     """
 
     def __init__(
@@ -68,35 +70,34 @@
         timing: RelayTiming,
         now: Callable[[], float],
         on_source_failed: Callable[[str, str], None] = lambda _source, _reason: None,
+        store_waits: bool = True,
     ):
         self._store = store
         self._http = http
         self._selector = selector
         self._now = now
         self._on_source_failed = on_source_failed
+        self._store_waits = store_waits
         #: Sources whose last call failed.
         self._failing: set[RelayAddress] = set()
         self.timing = timing
         #: Whether other processes may read from this one, so that it must be current.
         self.relaying = False
-        #: Unix seconds at which the first and the last part of the current response of the store
-        #: arrived; None while none is being received.
-        self._receiving_since: float | None = None
-        self._progress_at = 0.0
+        #: Unix seconds at which the last part of the current response of the store arrived; None
+        #: while none is being received.
+        self._progress_at: float | None = None
         #: Unix seconds at which the store last responded; minus infinity after a failed call.
         self._store_responded_at = float("-inf")
 
     def is_current(self, now: float) -> bool:
         """Returns whether this process gets the records from the store without delay.
 
-        That holds also while a response of the store is arriving, unless it takes too long. A process
-        that reads from a relay is not current; otherwise two relays without the store could read from
-        each other.
+        That holds also while a response of the store is arriving, however long that takes: copies for
+        other processes would only slow it down. A process that reads from a relay is not current;
+        otherwise two relays without the store could read from each other.
         """
         receiving = (
-            self._receiving_since is not None
-            and now - self._receiving_since < self.timing.receive_s
-            and now - self._progress_at < self.timing.stalled_s
+            self._progress_at is not None and now - self._progress_at < self.timing.stalled_s
         )
         return receiving or now - self._store_responded_at < self.timing.stale_s
 
@@ -132,7 +133,7 @@
 
     def _read_store(self, call: _Call) -> None:
         def on_outcome(outcome: Outcome) -> None:
-            self._receiving_since = None
+            self._progress_at = None
             if isinstance(outcome, Failure):
                 self._store_responded_at = float("-inf")
                 self._on_failure(call, STORE, outcome, responded=False)
@@ -146,12 +147,11 @@
         if call.offset is None:
             self._store.snapshot(call.topic, "", on_outcome)
         else:
-            self._store.read(call.topic, call.offset, call.wait_s, on_outcome, self._on_progress)
+            wait_s = call.wait_s if self._store_waits else 0.0
+            self._store.read(call.topic, call.offset, wait_s, on_outcome, self._on_progress)
 
     def _on_progress(self) -> None:
         self._progress_at = self._now()
-        if self._receiving_since is None:
-            self._receiving_since = self._progress_at
 
     def _read_relay(self, call: _Call, relay: RelayAddress) -> None:
         name = f"{relay.ip}:{relay.port}"
@@ -197,4 +197,11 @@
     present = [record for record in batch.records if record.value is not None]
     # The store sends snapshots in key order as well.
     present.sort(key=lambda record: record.key)
-    return SnapshotPage(tuple(present), False, batch.end, batch.delivery, batch.confirmed_after_s)
+    return SnapshotPage(
+        tuple(present),
+        False,
+        batch.end,
+        batch.delivery,
+        batch.confirmed_after_s,
+        batch.failed_after_s,
+    )
--- a/fescuechute/relay/_server.py
+++ b/fescuechute/relay/_server.py
@@ -74,7 +74,7 @@
         self._waiting.clear()
 
     def add(self, record: KeyedRecord) -> None:
-        """Adds a record that the feed has delivered."""
+        """Adds a record that the feed has delivered; records without effect need not be added."""
         assert self._feed is not None
         self._cache.add(record, self._feed.earliest_appended_at)
 
@@ -117,7 +117,7 @@
                 continue
             if not current:
                 self._refuse(call.request)
-            elif self._next_offset > call.offset or now >= call.wait_until:
+            elif self._cache.newest_offset >= call.offset or now >= call.wait_until:
                 self._respond(call)
             else:
                 self._waiting.append(call)
@@ -135,11 +135,13 @@
         found = self._cache.since(call.offset)
         end = self._next_offset
         appended_after_s = _earliest(found)
+        failed_at = self._feed.failed_at
         body = encode_batch(
             self._encode(call.offset, end, found),
             end,
             self._feed.confirmed_at - call.arrived_at,
             None if appended_after_s is None else appended_after_s - call.arrived_at,
+            failed_at - call.arrived_at if failed_at > 0.0 else None,
         )
         self._count("relay.responses")
         call.request.response.send(200, [(b"Content-Type", b"application/msgpack")], body)
--- a/fescuechute/relay/_timing.py
+++ b/fescuechute/relay/_timing.py
@@ -1,4 +1,4 @@
-"""Time limits of a relay, as shares of the time in which a configuration must be in force."""
+"""Time limits of a relay, as shares of the time in which a record must be known everywhere."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 SILENCE_SHARE = 0.1
 STALE_SHARE = 0.45
 STALLED_SHARE = 0.25
-RECEIVE_SHARE = 0.75
+#: Shares of the bound of a topic that readers poll. The interval of their calls, a wait of a follower
+#: and the silence of a frozen relay together stay below the bound.
+POLLED_WAIT_SHARE = 0.25
+POLLED_STALE_SHARE = 0.2
 
 
 @attrs.frozen
@@ -25,9 +28,6 @@
     stale_s: float
     #: Time without data after which a response of the store no longer counts as being received.
     stalled_s: float
-    #: Time from the first byte of a response of the store for which a relay that is receiving it stays
-    #: current.
-    receive_s: float
 
     @classmethod
     def from_config_apply(cls, config_apply_s: float) -> RelayTiming:
@@ -37,5 +37,19 @@
             SILENCE_SHARE * config_apply_s,
             STALE_SHARE * config_apply_s,
             STALLED_SHARE * config_apply_s,
-            RECEIVE_SHARE * config_apply_s,
+        )
+
+    @classmethod
+    def from_polling(cls, interval_s: float, bound_s: float) -> RelayTiming:
+        """Returns the limits for a topic that readers poll.
+
+        Args:
+          interval_s: Seconds between two calls of a reader to the store.
+          bound_s: Seconds within which a record must be known everywhere.
+        """
+        return cls(
+            POLLED_WAIT_SHARE * bound_s,
+            SILENCE_SHARE * bound_s,
+            interval_s + POLLED_STALE_SHARE * bound_s,
+            STALLED_SHARE * bound_s,
         )
--- a/fescuechute/runtime/__init__.py
+++ b/fescuechute/runtime/__init__.py
@@ -1,5 +1,5 @@
 """Base class of the gateway and the stager: event loop, settings reload, telemetry, feeds."""
 
-from fescuechute.runtime._process import METRICS_PORT, Process
+from fescuechute.runtime._process import METRICS_PORT, REGISTRY_INTERVAL_S, Process
 
-__all__ = ["METRICS_PORT", "Process"]
+__all__ = ["METRICS_PORT", "REGISTRY_INTERVAL_S", "Process"]
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -35,6 +35,9 @@
 SETTINGS_CHECK_INTERVAL_S = 0.5
 #: Port of the metrics endpoint on every VM; the deploy file repeats it.
 METRICS_PORT = 9464
+#: Seconds between two reads of the registry from the store; a draining replica must get no new
+#: requests after 2 s.
+REGISTRY_INTERVAL_S = 1.0
 #: Maximum length of a traceback in a log line, in characters; its end is kept.
 _MAX_TRACE_CHARS = 2000
 
@@ -92,6 +95,16 @@
             self.clock.now,
             self._on_source_failed,
         )
+        #: The registry, read from the relays of the region or from the store.
+        self.registry_log = RelayedLog(
+            self.store,
+            self.http,
+            self.source_selector,
+            RelayTiming.from_polling(REGISTRY_INTERVAL_S, cfg.service_levels.drain_s),
+            self.clock.now,
+            self._on_source_failed,
+            store_waits=False,
+        )
         self.stopping = False
 
     # Hooks for subclasses.
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -1,6 +1,7 @@
 """The platform's metadata store: keyed topics with snapshots and long polling.
 
-A test writes records with `PUT /records/TOPIC/KEY`. An empty body deletes the key.
+A test writes records with `PUT /records/TOPIC/KEY`. An empty body deletes the key. `GET /reads` returns
+the number of calls and of bytes read by topic.
 Faults: `down` (503 for every call), `silent` (no response), `turn_away` (429 for every call),
 `link_bytes_s` (rate of the link that all responses to reads share; 0 for no limit).
 """
@@ -42,6 +43,11 @@
         self._faults = faults
         self._topics: dict[str, Topic] = defaultdict(Topic)
         self._link = asyncio.Lock()
+        #: Calls and bytes by topic.
+        self._reads: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+
+    async def reads(self, _request: web.Request) -> web.Response:
+        return web.json_response(self._reads)
 
     async def put(self, request: web.Request) -> web.Response:
         topic = self._topics[request.match_info["topic"]]
@@ -77,6 +83,8 @@
         return await self._respond(request, body)
 
     async def _respond(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        totals = self._reads[request.query["topic"]]
+        totals[0], totals[1] = totals[0] + 1, totals[1] + len(body)
         response = web.StreamResponse()
         response.content_length = len(body)
         await response.prepare(request)
@@ -103,6 +111,7 @@
     store = Store(faults)
     app = make_app(faults, ("/fescuechute/",))
     app.router.add_put("/records/{topic}/{key:.+}", store.put)
+    app.router.add_get("/reads", store.reads)
     app.router.add_get("/fescuechute/log-newest", store.newest)
     app.router.add_get("/fescuechute/log-read", store.read)
     run(app, args.port)
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -244,3 +244,25 @@
     harness.complete_call(SnapshotPage((), False, 5))
     harness.complete_call(RecordBatch((make_record(5),), 6, prompt=False), after_s=0.9)
     assert harness.feed.earliest_appended_at == pytest.approx(100.0)
+
+
+def test_records_left_out_by_a_relay_are_not_read_again():
+    """Guards against reading old heartbeats from the store after the relays of a region have gone."""
+    harness = FeedHarness()
+    harness.complete_call(SnapshotPage((), False, 5))
+    harness.complete_call(RecordBatch((make_record(7),), 90, RELAY, compacted=True))
+    assert harness.complete_call(RecordBatch((), 80, RELAY, compacted=True)) == ("read", 90)
+    assert harness.complete_call(RecordBatch((), 95)) == ("read", 90)
+    assert harness.complete_call(RecordBatch((), 95)) == ("read", 90)
+
+
+def test_failure_of_the_log_is_known_from_its_source():
+    """Guards against taking an entry that lapsed in an outage for one that was withdrawn."""
+    harness = FeedHarness()
+    harness.complete_call(SnapshotPage((), False, 5))
+    assert harness.feed.failed_at == float("-inf")
+    called_at = harness.now
+    harness.complete_call(RecordBatch((), 5, RELAY, failed_after_s=-0.5))
+    assert harness.feed.failed_at == called_at - 0.5
+    harness.complete_call(Failure("status 503"))
+    assert harness.feed.failed_at == harness.now
