Do not handle rejected requests, and bound pipelined bytes

Cause: after a 413 the events of the same segment were still read, so the handler was called with the rejected request. While a response is pending, later bytes of the connection were buffered without a limit.

Evidence: test_rejected_body_does_not_reach_the_handler (chunked body) and test_pipelined_bytes_are_bounded_and_answered_later fail on the code before.

Change: a rejected connection reads no more events; reading pauses when 64 KiB of later requests have arrived and goes on with the next response.

Measured: tests/forwarding passes, the rejected requests reach no handler.

--- a/fescuechute/forwarding/_server.py
+++ b/fescuechute/forwarding/_server.py
@@ -14,6 +14,8 @@
 
 #: Limit on response bytes buffered for a slow client; beyond it the connection is closed.
 _MAX_BUFFERED_BYTES = 1 << 20
+#: Bytes of later requests that are read while a response is pending.
+_MAX_PIPELINED_BYTES = 64 << 10
 #: Seconds from the end of a request head until its body must be complete.
 _BODY_TIMEOUT_S = 10.0
 
@@ -157,6 +159,10 @@
         self._body = bytearray()
         self._response: Response | None = None
         self._served_requests = 0
+        #: Whether the connection ends because its request was not acceptable.
+        self._rejected = False
+        #: Bytes received while a response is pending; they belong to later requests.
+        self._pipelined_bytes = 0
         now = server.clock.now()
         self._head_received_at = now
         #: Unix seconds at which the wait for the next request, or for the rest of it, times out.
@@ -245,6 +251,9 @@
         self._receiving = False
         self._body.clear()
         self._deadline = self._server.clock.now() + self._server.limits.idle_s
+        if self._pipelined_bytes:
+            self._pipelined_bytes = 0
+            self._conn.set_reading(True)
         self._protocol.start_next_cycle()
         # With pipelining, the next request may already be in the receive buffer.
         self._read_events()
@@ -263,10 +272,15 @@
             return
         if self._response is None:
             self._read_events()
+            return
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+            self._server.count("callers.pipelining_paused")
+            self._conn.set_reading(False)
 
     def _read_events(self) -> None:
         try:
-            while self._response is None and self._conn.is_open:
+            while self._response is None and self._conn.is_open and not self._rejected:
                 event = self._protocol.next_event()
                 if event is h11.NEED_DATA:
                     self._on_need_data()
@@ -330,6 +344,7 @@
 
     def _reject(self, status: int, detail: str) -> None:
         """Responds with an error to an unacceptable request and closes the connection."""
+        self._rejected = True
         body = detail.encode()
         head = (
             f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Type: text/plain\r\n"
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -46,6 +46,7 @@
         self._connecting = connecting
         self._write_queue: deque[memoryview] = deque()
         self._finishing = False
+        self._reading = True
         #: Bytes passed to `write` that the kernel has not accepted yet.
         self.buffered = 0
         self.on_connected: Callable[[], None] = _no_op
@@ -77,6 +78,12 @@
             self.buffered += len(view)
             self._owner.watch_writes(self._sock, True)
 
+    def set_reading(self, enabled: bool) -> None:
+        """Pauses or resumes reading; while it is paused, only a reset by the peer is noticed."""
+        if self._sock is not None and enabled is not self._reading:
+            self._reading = enabled
+            self._owner.watch_reads(self._sock, enabled)
+
     def finish(self) -> None:
         """Sends the buffered data, then closes without calling `on_closed`.
 
@@ -87,6 +94,7 @@
         if self._sock is None or self._finishing:
             return
         self._finishing = True
+        self.set_reading(True)
         self.on_data = self.on_closed = _no_op
         self._owner.close_later(self, _LINGER_S)
         if not self._write_queue:
@@ -112,7 +120,7 @@
     def handle_readable(self) -> None:
         """Reads available data and passes it to `on_data`."""
         for _ in range(_READS_PER_EVENT):
-            if self._sock is None:
+            if self._sock is None or not self._reading:
                 return
             try:
                 data = self._sock.recv(_MAX_READ_BYTES)
@@ -244,6 +252,13 @@
             self._write_watched.discard(sock)
             self._require_poller().removeWriter(sock)
 
+    def watch_reads(self, sock: socket.socket, enabled: bool) -> None:
+        """Starts or stops polling a socket for readability."""
+        if enabled:
+            self._require_poller().addReader(self, sock)
+        else:
+            self._require_poller().removeReader(sock)
+
     def remove_socket(self, sock: socket.socket) -> None:
         """Removes a socket that is about to be closed from the poller."""
         self._write_watched.discard(sock)
--- a/tests/forwarding/test_forwarding_server.py
+++ b/tests/forwarding/test_forwarding_server.py
@@ -146,3 +146,48 @@
     while not condition():
         assert time.monotonic() < deadline
         time.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ("name", "framing"),
+    [
+        ("length", b"Content-Length: 20\r\n\r\n" + b"x" * 20),
+        ("chunks", b"Transfer-Encoding: chunked\r\n\r\n14\r\n" + b"x" * 20 + b"\r\n0\r\n\r\n"),
+    ],
+)  # fmt: skip
+def test_rejected_body_does_not_reach_the_handler(name, framing):
+    """Guards against a request that is rejected with 413 and forwarded nevertheless."""
+    handled = []
+    with serve(handled.append) as (loop, server):
+        server.limits = ClientLimits(body_bytes=10)
+        conn = connect(listen(loop, server))
+        conn.sendall(b"POST / HTTP/1.1\r\nHost: x\r\n" + framing)
+        assert read_until_closed(conn).startswith(b"HTTP/1.1 413 "), name
+        assert handled == []
+
+
+def test_pipelined_bytes_are_bounded_and_answered_later():
+    """Guards against memory that a client fills with requests while its first one is pending."""
+    requests = []
+    counts = []
+    with serve(requests.append, counts) as (loop, server):
+        conn = connect(listen(loop, server))
+        conn.setblocking(False)
+        request = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" + b"x" * 60_000
+        sent = 0
+        wanted = len(request) * 300
+        ends_at = time.monotonic() + 2.0
+        while sent < wanted and time.monotonic() < ends_at:
+            try:
+                sent += conn.send((request * 2)[sent % len(request) :][: len(request)])
+            except BlockingIOError:
+                time.sleep(0.01)
+        # The rest waits in the buffers of the two sockets, which the kernel bounds.
+        assert sent < wanted
+        assert "callers.pipelining_paused" in counts
+        assert server.bytes_in < 1 << 20
+        conn.setblocking(True)
+        for served in range(3):
+            _wait_for(lambda count=served: len(requests) > count)
+            loop.call_at(0.0, lambda n=served: requests[n].response.send(200, [], b"done"))
+            read_until(conn, b"done")
