--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -30,6 +30,8 @@
 #: Seconds without an event after which a resumable stream is resumed at another replica. Clients
 #: wait at least 2 s for the next event.
 STREAM_STALL_S = 1.2
+#: Seconds after which a free replica is looked for again.
+STALL_RECHECK_S = 0.2
 #: Seconds without a response head after which a failure of the replica is recorded. A full engine
 #: starts to respond within about a second; clients wait at least 2 s for the first event.
 SLOW_START_S = 1.5
@@ -151,6 +153,10 @@
             self._cancel_attempt("timeout")
             self._fail(504, Reason.DEADLINE_PASSED)
         elif now >= self._stalls_at and self._attempt is not None:
+            # Without a free replica the silent one is the best chance; it may only be slow.
+            if self._dispatch.choose(self.requirements()) is None:
+                self._stalls_at = now + STALL_RECHECK_S
+                return
             self._stalls_at = float("inf")
             if self._acquire_retry():
                 self._cancel_attempt("silent")
--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -31,6 +31,8 @@
     #: Time at which it last announced a chunk that this agent misses.
     last_progress_at: float = 0.0
     avoid_until: float = 0.0
+    #: Number of its chunks that failed verification.
+    corrupt_count: int = 0
     #: Time of the first plan after its link came up; None before it.
     link_up_at: float | None = None
 
@@ -172,8 +174,13 @@
             self._arrival_times.append(now)
 
     def record_corrupt(self, digest: bytes, source: str, now: float) -> None:
-        """Records that a chunk from a source failed verification."""
+        """Records that a chunk from a source failed verification; its source is avoided for a while."""
         self.record_failure(digest, source, now)
+        peer = self._peers.get(source)
+        if peer is not None:
+            peer.corrupt_count += 1
+            pause_s = self._limits.corrupt_avoid_s * 2 ** min(peer.corrupt_count - 1, 4)
+            peer.avoid_until = max(peer.avoid_until, now + pause_s)
 
     def record_failure(self, digest: bytes, source: str, now: float) -> None:
         """Records that a source did not deliver a chunk."""
--- a/fescuechute/weights/_ring_limits.py
+++ b/fescuechute/weights/_ring_limits.py
@@ -42,6 +42,9 @@
     timeout_avoid_s: float = 1.0
     #: Time for which a peer is avoided after it refused a chunk.
     refusal_avoid_s: float = 0.1
+    #: Time for which a peer is avoided after a chunk of its own failed verification; it doubles with
+    #: each further one, up to 16 times.
+    corrupt_avoid_s: float = 0.5
     #: Time without a new chunk at its predecessors after which an agent downloads the shares of other
     #: agents from the origin too, and the increase of this time for each agent of distance. Because of
     #: the increase, the direct successor of a lost agent does so alone.
--- a/fescuechute/wire/_frames.py
+++ b/fescuechute/wire/_frames.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from typing import Any
+from typing import Any, get_type_hints
 
 import attrs
 import msgpack
@@ -17,6 +17,7 @@
     WireError,
 )
 from fescuechute.wire import _messages as m
+from fescuechute.wire._checks import make_check
 
 #: Maximum payload of one frame, in bytes. Bounds the memory that a peer can make a receiver use.
 MAX_FRAME_BYTES = 1 << 20
@@ -55,18 +56,10 @@
 )
 _TYPE_CODES = {cls: code for code, cls in enumerate(_MESSAGE_TYPES)}
 _FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in _MESSAGE_TYPES}
-#: Accepted Python types by annotation. Any other annotation accepts a tuple, whose items are not
-#: checked.
-_ACCEPTED_TYPES: dict[str, tuple[type, ...]] = {
-    "int": (int,),
-    "float": (float, int),
-    "str": (str,),
-    "bytes": (bytes,),
-    "bool": (bool,),
-}
-_FIELD_TYPES = {
-    cls: tuple(_ACCEPTED_TYPES.get(str(field.type), (tuple,)) for field in attrs.fields(cls))
+_FIELD_CHECKS = {
+    cls: tuple(make_check(hints[name]) for name in _FIELD_NAMES[cls])
     for cls in _MESSAGE_TYPES
+    for hints in [get_type_hints(cls)]
 }
 
 
@@ -166,10 +159,10 @@
             f"{cls.__name__} has {len(fields) - 1} fields, expected {len(_FIELD_NAMES[cls])}.",
             "Run the same release on both ends.",
         )
-    for name, value, accepted in zip(_FIELD_NAMES[cls], fields[1:], _FIELD_TYPES[cls], strict=True):
-        if not isinstance(value, accepted) or (isinstance(value, bool) and bool not in accepted):
+    for name, value, check in zip(_FIELD_NAMES[cls], fields[1:], _FIELD_CHECKS[cls], strict=True):
+        if not check(value):
             raise WireError(
-                f"{cls.__name__}.{name} is {type(value).__name__}.",
+                f"{cls.__name__}.{name} is {value!r:.80}.",
                 "Run the same release on both ends.",
             )
     return cls(*fields[1:])
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -71,10 +71,10 @@
     )
 
 
-def load(harness, name, running, loading=False, version=1, relative_step_time=1.0):
+def load(harness, name, running, loading=False, version=1, relative_step_time=1.0, others=0):
     models = (LoadedModel("m", version),)
     report = EngineReport(models, loading, 0, 0, running, 0, 0, relative_step_time, 5)
-    harness.table.get(name).apply_report(report, 0.0)
+    harness.table.get(name).apply_report(report, 0.001, others)
 
 
 def test_engine_without_weights_is_not_chosen():
@@ -249,3 +249,20 @@
         harness.table.register(entry(f"f{number}", 1, "far"))
         load(harness, f"n{number}", 19)
     assert harness.choose()[0].startswith("f")
+
+
+def test_arrivals_from_others_are_divided_among_the_eligible_engines():
+    """Guards against overrunning the few free engines while most are full or loading.
+
+    Load pattern: after a declaration most engines of a region load, and seven gateways send what had
+    been spread over 24 engines to the two that are left.
+    """
+    harness = ChooserHarness(**{f"e{n}": 1 for n in range(24)})
+    for n in range(24):
+        load(harness, f"e{n}", 12, loading=n > 1, others=6)
+    for step in range(90):
+        harness.chooser.record_send("lm", -3.0 + step / 30)
+    # Both engines have 4 free slots at the report; the others send 90 requests a second to each.
+    assert harness.choose(now=0.001, rank=1) is not None
+    assert harness.choose(now=0.03, rank=1) is not None
+    assert harness.choose(now=0.1, rank=1) is None
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -4,7 +4,7 @@
 
 from fescuechute.catalog import RetryPolicy
 from fescuechute.forwarding import CallFailure
-from tests.gateway.transfer_harness import TransferHarness, event
+from tests.gateway.transfer_harness import TransferHarness, event, make_row
 from tests.platform.fields import DEADLINE_MS, INSTANCE, NOT_RUN, SEAL
 
 
@@ -202,6 +202,19 @@
         assert harness.calls[0].cancelled
         assert dict(harness.calls[1].request.headers)[b"Last-Event-Id"] == b"1"
 
+    def test_stalled_stream_is_kept_while_no_replica_is_free(self):
+        """Guards against streams that are cut off although their replica is only slow."""
+        harness = self.harness(upstreams=1)
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        assert not harness.calls[0].cancelled
+        harness.rows.append(make_row("u2"))
+        harness.advance(0.1)
+        assert not harness.calls[0].cancelled
+        harness.advance(0.2)
+        assert harness.calls[0].cancelled
+        assert dict(harness.calls[1].request.headers)[b"Last-Event-Id"] == b"1"
+
     def test_broken_stream_that_is_not_resumable_is_aborted(self):
         """Guards against a second run of a stream that must not be retried."""
         harness = TransferHarness(RetryPolicy.STREAM, resumable=False)
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -96,7 +96,7 @@
             "r", "a.example", "/a/", retry_policy, (WeightedService("app", 1),), 6.0, 0.4, 0.4, 0,
             2, False, resumable,
         )  # fmt: skip
-        self.rows = [_row(f"u{n + 1}") for n in range(upstreams)]
+        self.rows = [make_row(f"u{n + 1}") for n in range(upstreams)]
         meta = RequestMeta("9c41", "k", 5.0, None, "", 100, 50, 0)
         request = ClientRequest(
             b"POST",
@@ -166,7 +166,7 @@
         setattr(self._harness.client, name, value)
 
 
-def _row(instance):
+def make_row(instance):
     entry = Registration(instance, "app", Address("10.0.0.1", 1), "z", UpstreamState.READY, 4)
     return UpstreamRow(entry, "r")
 
--- a/tests/weights/test_ring.py
+++ b/tests/weights/test_ring.py
@@ -107,6 +107,25 @@
     assert [type(c) for c in ring.plan(1.0)] == [FetchFromOrigin]
 
 
+def test_source_of_corrupt_chunks_is_avoided_for_longer_each_time():
+    """Guards against a peer that keeps the link busy with chunks that fail verification."""
+    ring = Ring("b", set())
+    ring.set_order(["a", "b"], 2)
+    ring.peer_up("a")
+    ring.want([b"1"])
+    ring.record_announcement("a", [b"1"], 0.0)
+    now, pauses = 0.0, []
+    for _ in range(3):
+        while not any(isinstance(c, FetchFromPeer) for c in ring.plan(now)):
+            now += 0.05
+        ring.record_corrupt(b"1", "a", now)
+        corrupt_at = now
+        ring.record_announcement("a", [b"1"], now)
+        pauses.append(corrupt_at)
+    assert pauses[1] - pauses[0] >= RingLimits().corrupt_avoid_s
+    assert pauses[2] - pauses[1] >= 2 * RingLimits().corrupt_avoid_s - 0.1
+
+
 def test_refused_chunk_is_not_requested_again_at_once():
     """Guards against a busy loop of requests to an agent that lacks the chunk."""
     ring = Ring("b", set())
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -49,6 +49,12 @@
         pytest.param(_frame(msgpack.packb([1])), FrameTruncatedError, id="missing_field"),
         pytest.param(_frame(msgpack.packb([1, "now"])), WireError, id="wrong_type"),
         pytest.param(_frame(msgpack.packb([1, True])), WireError, id="bool_for_number"),
+        pytest.param(_frame(msgpack.packb([6, "r", 1, 1, ["a", 2]])), WireError, id="item_type"),
+        pytest.param(_frame(msgpack.packb([15, [1]])), WireError, id="digest_type"),
+        pytest.param(_frame(msgpack.packb([23, [["p", "10.0.0.1"]]])), WireError, id="short_row"),
+        pytest.param(
+            _frame(msgpack.packb([23, [["p", "10.0.0.1", "80"]]])), WireError, id="row_type"
+        ),
     ],
 )
 def test_invalid_frame_raises_typed_error(data, error):
