Read the first operators' records from a relay, with the dates of each

The store does not date records, so the gateway counted the version bound from its own start and sent to engines with the version before for up to `stable_ms`; behind the full link these requests and their cancellations came 2.5 s late.

Change: a relay sends the date of each record; a starting gateway asks the meeting points of its region for relays and waits for one for 0.5 s;

Measured: test_restarted_gateway_reads_its_first_records_from_a_relay fails on the code before; a gateway is ready within 2 s when all start together.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -171,9 +171,14 @@
             self._snapshot_confirmed_at = self._call_started_at + outcome.confirmed_after_s
             self._snapshot_keys.clear()
         self._note_failure(outcome)
-        self.earliest_appended_at = self.confirmed_at
         self.delivery = outcome.delivery
-        for record in outcome.records:
+        dates = outcome.appended_after_s or (None,) * len(outcome.records)
+        for record, appended_after_s in zip(outcome.records, dates, strict=True):
+            self.earliest_appended_at = (
+                self.confirmed_at
+                if appended_after_s is None
+                else self._call_started_at + appended_after_s
+            )
             self._snapshot_keys.add(record.key)
             self._on_record(record)
         if outcome.has_more and outcome.records:
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -48,6 +48,9 @@
     confirmed_after_s: float = 0.0
     #: The same for the last failure of the log that the source has seen, or None without one.
     failed_after_s: float | None = None
+    #: For each record the same for the time after which it was appended, None if unknown; empty in a
+    #: response of the store.
+    appended_after_s: tuple[float | None, ...] = ()
 
 
 @attrs.frozen
@@ -67,6 +70,8 @@
     prompt: bool = True
     #: The same as `confirmed_after_s` for the last failure of the log that the source has seen.
     failed_after_s: float | None = None
+    #: For each record what `appended_after_s` says of all of them; empty in a response of the store.
+    record_appended_after_s: tuple[float | None, ...] = ()
     #: Whether records without effect are left out, so that the next read starts at `end`.
     compacted: bool = False
 
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -40,6 +40,8 @@
 #: call to the next. Readers call the store each `REGISTRY_INTERVAL_S`.
 REGISTRY_WAIT_S = 1.0
 REGISTRY_FOLLOW_INTERVAL_S = 0.2
+#: Seconds from the start for which the first read of the operators' records waits for a relay.
+FIRST_READ_WAIT_S = 0.5
 #: Port at which the operators' records are passed on, counted from the peer port of the VM.
 RELAY_PORT_OFFSET = 3
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
@@ -155,7 +157,8 @@
 
     def on_tick(self, now: float) -> None:
         """Advances the feeds, connections, transfers and a drain in progress."""
-        self.operator_feed.tick(now)
+        if self._may_read_operators(now):
+            self.operator_feed.tick(now)
         self.registry_feed.set_poll_interval(
             REGISTRY_INTERVAL_S
             if self.source_selector.is_reader(now)
@@ -199,8 +202,12 @@
 
     def region_relays(self, now: float) -> list[RelayAddress]:
         """Returns the known relays of the region, including this gateway unless it is stopping."""
+        own = self._relay_address
+        # The process before a restart of this one was at the same address.
         others = [
-            relay for relay in super().region_relays(now) if relay.process_id != self.process_id
+            relay
+            for relay in super().region_relays(now)
+            if (relay.ip, relay.port) != (own.ip, own.port)
         ]
         return others if self.stopping else [*others, self._relay_address]
 
@@ -208,12 +215,16 @@
         """Answers other processes of the region, and offers to do so."""
         self.relay_listener.tick(now)
         self.relay_router.tick(now)
-        if self.operator_feed.complete and not self.stopping and self.relay_announcer.is_due(now):
-            stager_ips = {
-                row.entry.address.ip
-                for row in self.upstreams
-                if row.entry.models and row.region == self.settings.region
-            }
+        if self.stopping or not self.relay_announcer.is_due(now):
+            return
+        stager_ips = {
+            row.entry.address.ip
+            for row in self.upstreams
+            if row.entry.models and row.region == self.settings.region
+        }
+        if not self.operator_feed.complete:
+            self.relay_announcer.ask(now, stager_ips)
+        else:
             self.relay_announcer.announce(
                 now,
                 stager_ips,
@@ -221,6 +232,15 @@
                 is_current=self.relay_router.is_current(now),
             )
 
+    def _may_read_operators(self, now: float) -> bool:
+        """Returns whether to read the operators' records; the first read waits for relays for a time.
+
+        Processes that restart together would otherwise fill the link to the store with snapshots.
+        """
+        has_relays = len(self.region_relays(now)) > 1
+        waited = now >= self._started_at + FIRST_READ_WAIT_S
+        return self.operator_feed.complete or has_relays or waited
+
     def _gateway_count(self) -> int:
         return self.load_listener.gateway_count(self.clock.now())
 
--- a/fescuechute/relay/_announcer.py
+++ b/fescuechute/relay/_announcer.py
@@ -11,6 +11,8 @@
 
 #: Seconds between two offers.
 OFFER_INTERVAL_S = 0.8
+#: Seconds between two questions of a process that has no records yet.
+ASK_INTERVAL_S = 0.1
 #: Stagers that learn of all relays of the region; the others learn of the readers only.
 MEETING_POINTS = 4
 
@@ -32,6 +34,18 @@
         """Returns whether the next offers are due."""
         return now >= self._next_offer_at
 
+    def ask(self, now: float, stager_ips: Iterable[str]) -> None:
+        """Asks some stagers for the relays of the region, without an offer.
+
+        Args:
+          now: Unix seconds.
+          stager_ips: Addresses of the stagers of the region.
+        """
+        self._next_offer_at = now + ASK_INTERVAL_S
+        question = attrs.evolve(self._offer, port=0)
+        for ip in self._meeting_points(set(stager_ips)):
+            self._send((ip, self._offer.datagram_port), question)
+
     def announce(
         self, now: float, stager_ips: Iterable[str], *, is_reader: bool, is_current: bool
     ) -> None:
@@ -49,6 +63,8 @@
         self._next_offer_at = now + OFFER_INTERVAL_S
         offer = attrs.evolve(self._offer, port=0) if is_reader and not is_current else self._offer
         ips = set(stager_ips)
-        duty = f"meeting-points/{self._offer.region}"
-        for ip in ips if is_reader else duty_holders(duty, ips, MEETING_POINTS):
+        for ip in ips if is_reader else self._meeting_points(ips):
             self._send((ip, self._offer.datagram_port), offer)
+
+    def _meeting_points(self, ips: set[str]) -> list[str]:
+        return duty_holders(f"meeting-points/{self._offer.region}", ips, MEETING_POINTS)
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgpack
 
@@ -28,6 +28,7 @@
     confirmed_after_s: float,
     appended_after_s: float | None,
     failed_after_s: float | None = None,
+    record_appended_after_s: Sequence[float | None] = (),
 ) -> bytes:
     """Returns a batch.
 
@@ -38,8 +39,10 @@
         known; negative if that time is earlier.
       appended_after_s: The same for the time after which all records were appended; None if unknown.
       failed_after_s: The same for the last failure of the log; None without one.
+      record_appended_after_s: What `appended_after_s` says of all records, for each of them.
     """
-    return msgpack.packb((end, confirmed_after_s, appended_after_s, failed_after_s, records))
+    dates = list(record_appended_after_s)
+    return msgpack.packb((end, confirmed_after_s, appended_after_s, failed_after_s, dates, records))
 
 
 def decode_batch(data: bytes, source: str, transfer_s: float) -> RecordBatch:
@@ -49,11 +52,15 @@
       WireError: The data is no batch.
     """
     try:
-        end, confirmed_after_s, appended_after_s, failed_after_s, compressed = msgpack.unpackb(data)
+        end, confirmed_after_s, appended_after_s, failed_after_s, dates, compressed = (
+            msgpack.unpackb(data)
+        )
         inflater = zlib.decompressobj()
         rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
         if not inflater.eof:
             raise ValueError(f"its records are incomplete or exceed {MAX_BATCH_BYTES} bytes")
+        if len(dates) not in (0, len(rows)):
+            raise ValueError(f"it dates {len(dates)} of {len(rows)} records")
         return RecordBatch(
             tuple(KeyedRecord(int(offset), str(key), value) for offset, key, value in rows),
             int(end),
@@ -62,6 +69,7 @@
             None if appended_after_s is None else float(appended_after_s),
             failed_after_s=None if failed_after_s is None else float(failed_after_s),
             compacted=True,
+            record_appended_after_s=tuple(None if date is None else float(date) for date in dates),
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -107,7 +107,11 @@
             # Pages of different sources do not fit together.
             self._store.snapshot(topic, after, on_end)
             return
-        self._try_next(_Call(topic, None, 0.0, on_end, self._sources()))
+        # A snapshot of a relay is compressed, does not cross the link to the store, and tells when its
+        # records were appended.
+        sources = self._sources()
+        sources.sort(key=lambda source: source == STORE)
+        self._try_next(_Call(topic, None, 0.0, on_end, sources))
 
     def read(
         self, topic: str, offset: int, wait_s: float, on_end: Callable[[Outcome], None]
@@ -194,14 +198,20 @@
         return Failure(str(exc))
     if not is_snapshot:
         return batch
-    present = [record for record in batch.records if record.value is not None]
+    dates = batch.record_appended_after_s or (None,) * len(batch.records)
+    present = [
+        (record, date)
+        for record, date in zip(batch.records, dates, strict=True)
+        if record.value is not None
+    ]
     # The store sends snapshots in key order as well.
-    present.sort(key=lambda record: record.key)
+    present.sort(key=lambda item: item[0].key)
     return SnapshotPage(
-        tuple(present),
+        tuple(record for record, _ in present),
         False,
         batch.end,
         batch.delivery,
         batch.confirmed_after_s,
         batch.failed_after_s,
+        tuple(date for _, date in present),
     )
--- a/fescuechute/relay/_server.py
+++ b/fescuechute/relay/_server.py
@@ -142,6 +142,10 @@
             self._feed.confirmed_at - call.arrived_at,
             None if appended_after_s is None else appended_after_s - call.arrived_at,
             failed_at - call.arrived_at if failed_at > 0.0 else None,
+            [
+                None if known.appended_after is None else known.appended_after - call.arrived_at
+                for known in found
+            ],
         )
         self._count("relay.responses")
         call.request.response.send(200, [(b"Content-Type", b"application/msgpack")], body)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import signal
 import socket
 import threading
 import time
@@ -85,21 +86,27 @@
             for n in range(replicas)
         ]
         self._settings = directory / "node.json"
-        self.gateways = []
+        self._settings_files = []
         for number, ip in enumerate(self._ips):
             settings = directory / f"node-{number}.json" if number else self._settings
             settings.write_text(json.dumps(self._node_settings(ip, f"front-{number + 1}")))
-            self.gateways.append(
-                fleet.spawn_module(
-                    "fescuechute",
-                    "gateway",
-                    "--settings",
-                    str(settings),
-                    name=f"gateway-{number}" if number else "gateway",
-                )
-            )
+            self._settings_files.append(settings)
+        self.gateways = [
+            self._spawn_gateway(number, f"gateway-{number}" if number else "gateway")
+            for number in range(gateways)
+        ]
         self.gateway = self.gateways[0]
 
+    def _spawn_gateway(self, number: int, name: str) -> Any:
+        settings = str(self._settings_files[number])
+        return self._fleet.spawn_module("fescuechute", "gateway", "--settings", settings, name=name)
+
+    def restart(self, gateway: int) -> None:
+        """Kills a gateway and starts it again."""
+        os.kill(self.gateways[gateway].pid, signal.SIGKILL)
+        wait_until(lambda: not self.gateways[gateway].alive)
+        self.gateways[gateway] = self._spawn_gateway(gateway, f"gateway-{gateway}-again")
+
     def write_settings(self, **changes: Any) -> None:
         """Rewrites the settings file of the gateway."""
         self._settings.write_text(json.dumps({**self._node_settings(), **changes}))
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -10,6 +10,8 @@
 
 #: Seconds within which a configuration is in force; `config_apply_ms` of the settings.
 CONFIG_APPLY_S = 2.0
+#: Seconds from a declaration from which no request may start on older weights; `version_ms`.
+VERSION_S = 8.0
 #: A configuration of 1,000 routes takes about 200 KB, so two copies cross the link in time.
 ADDED_ROUTES = 1000
 LINK_BYTES_S = 400_000
@@ -78,6 +80,36 @@
         time.sleep(0.2)
 
 
+def test_restarted_gateway_reads_its_first_records_from_a_relay(fleet, tmp_path, stager):
+    """Guards against a link to the store that is filled by the snapshots of restarted processes.
+
+    Guards also against requests on old weights: the store does not tell when a version was declared.
+    """
+    deployment = start_region(fleet, tmp_path, stager, gateways=3)
+    deployment.put_record("keyed.op", "version/m", {"model": "m", "version": 2})
+    declared_at = time.time()
+    for gateway in range(3):
+        deployment.wait_for_line("version.declared", gateway, version=2)
+    time.sleep(2.0)
+    deployment.restart(2)
+    line = deployment.wait_for_line("version.declared", 2, version=2)
+    assert last_configuration(deployment, 2)["source"] != "store"
+    binding_at = line["at"] + line["binding_in_ms"] / 1000
+    # The date of a record may be early by the interval of two calls, but never late.
+    assert declared_at + VERSION_S - 2.0 <= binding_at <= declared_at + VERSION_S
+    deployment.wait_for_line("ready", 2)
+
+
+def test_first_gateway_of_a_region_starts_without_a_relay(fleet, tmp_path, stager):
+    """Guards against a region whose gateways wait for each other after a loss of all power."""
+    deployment = start_region(fleet, tmp_path, stager, gateways=3)
+    for gateway in range(3):
+        deployment.restart(gateway)
+    started_at = deployment.wait_for_line("start", 2)["at"]
+    for gateway in range(3):
+        assert deployment.wait_for_line("ready", gateway)["at"] - started_at < CONFIG_APPLY_S
+
+
 def last_configuration(deployment, gateway):
     lines = [line for line in deployment.log_lines(gateway) if line["event"] == "configuration"]
     return lines[-1]
