Bind a declaration of unknown date at once

Cause: a gateway whose first read has no date for a declaration counted its bound from its own start, so for 2.4 s it sent to engines with the version before, although the bound may have passed long ago.

Change: such a declaration binds at once; a cold start loses nothing, since its engines report their versions before requests come.

Measured: test_declaration_of_unknown_date_binds_at_once fails on the code before.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -47,8 +47,6 @@
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
 #: checks readiness once a second and removes a process after two failed checks.
 DRAIN_ACCEPT_S = 3.0
-#: Maximum seconds from the start of the program to the first reading of its clock.
-MAX_STARTUP_S = 1.0
 #: Share of the memory of the process that incomplete responses may take.
 RESPONSE_MEMORY_SHARE = 0.125
 #: Memory of the process in bytes if the settings name none.
@@ -325,23 +323,22 @@
 
     def _apply_version_declaration(self, declared: VersionDeclaration, offset: int) -> None:
         service_levels = self.settings.service_levels
-        # The time of a declaration in the first read is unknown. Bounds apply to a process only
-        # from `stabilization_s` after its start, so such a declaration is assumed to bind from then
-        # on.
+        # A declaration of unknown date binds at once. Its bound may have passed, and a request that is
+        # sent to an older version now may be delayed on its way.
         earliest_declared_at = self.operator_feed.earliest_appended_at
+        binding_in_s = 0.0
         if earliest_declared_at is None:
-            bounds_apply_at = self._started_at - MAX_STARTUP_S + service_levels.stabilization_s
-            earliest_declared_at = bounds_apply_at - service_levels.version_switch_s
+            earliest_declared_at = float("-inf")
+        else:
+            binding_at = earliest_declared_at + service_levels.version_switch_s
+            binding_in_s = binding_at - self.clock.now()
         if self.versions.declare(declared.model, declared.version, earliest_declared_at):
             self.telemetry.event(
                 "version.declared",
                 model=declared.model,
                 version=declared.version,
                 offset=offset,
-                binding_in_ms=round(
-                    (earliest_declared_at + service_levels.version_switch_s - self.clock.now())
-                    * 1000
-                ),
+                binding_in_ms=round(binding_in_s * 1000),
             )
 
     def _on_registration(self, record: KeyedRecord) -> None:
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -100,6 +100,15 @@
     deployment.wait_for_line("ready", 2)
 
 
+def test_declaration_of_unknown_date_binds_at_once(fleet, tmp_path, stager):
+    """Guards against requests of a restarted gateway on weights whose bound has passed."""
+    deployment = Deployment(fleet, tmp_path)
+    deployment.put_record("keyed.op", "version/m", {"model": "m", "version": 2})
+    deployment.start()
+    line = deployment.wait_for_line("version.declared", version=2)
+    assert line["binding_in_ms"] == 0
+
+
 def test_first_gateway_of_a_region_starts_without_a_relay(fleet, tmp_path, stager):
     """Guards against a region whose gateways wait for each other after a loss of all power."""
     deployment = start_region(fleet, tmp_path, stager, gateways=3)
