Divide arrivals among near replicas again; keep rings up to 24 plain

Arrivals divided among the eligible replicas refuse more than they save, and a far link in a ring of 15 carries more chunks between regions than a plain ring, which already fills its links.

Far links start above 24 agents.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -115,8 +115,6 @@
         self._gateway_count = gateway_count
         self._rng = rng
         self._send_rates: dict[str, SendRate] = defaultdict(SendRate)
-        #: Number of eligible near replicas at the last choice, by service.
-        self._eligible_near: dict[str, int] = {}
 
     def choose(self, requirements: Requirements, now: float) -> Choice | None:
         """Returns the best eligible replica, or None if there is none.
@@ -126,7 +124,6 @@
         evaluation = self._evaluation(requirements, now)
         subset = self._subsets.subset(requirements.service.name)
         candidates = evaluation.candidates(subset.near)
-        self._eligible_near[requirements.service.name] = len(candidates)
         best = self._cheapest(candidates)
         if subset.far and (best is None or best.cost_s > SPILL_COST_S):
             candidates = candidates + evaluation.candidates(subset.far)
@@ -169,16 +166,14 @@
 
     def _evaluation(self, requirements: Requirements, now: float) -> _Evaluation:
         service = requirements.service
-        # The other gateways choose among the same few replicas while most are full or loading.
         near_count = len(self._subsets.subset(service.name).near)
-        eligible = self._eligible_near.get(service.name, near_count)
         return _Evaluation(
             requirements,
             self._versions,
             self._data_centre,
             self._region,
             self.connections_per_replica(service),
-            self._send_rates[service.name].per_s(now) / max(1, eligible),
+            self._send_rates[service.name].per_s(now) / max(1, near_count),
             now,
         )
 
@@ -200,7 +195,7 @@
       data_centre: Data centre of the gateway.
       region: Region of the gateway.
       max_own: Requests that this gateway may have in flight at a replica.
-      sends_per_s: Mean rate at which this gateway sends requests to one eligible replica.
+      sends_per_s: Mean rate at which this gateway sends requests to one near replica.
       now: Unix seconds.
     """
 
--- a/fescuechute/weights/_ring_limits.py
+++ b/fescuechute/weights/_ring_limits.py
@@ -8,7 +8,7 @@
 PREDECESSORS = 3
 #: Number of agents above which each agent also keeps a link to one far behind it. Each agent that passes
 #: a chunk on delays it, so that a long ring would take longer than its links require.
-MAX_PLAIN_RING = 12
+MAX_PLAIN_RING = 24
 #: Positions that this link skips, in square roots of the number of agents.
 SKIP_FACTOR = 1.5
 
