Log which gateways read the store, and let the relay tests wait for it

A gateway that knows no other relay yet reads from the store; its long poll is still there when the others become known, and delivers the next configuration. The test waited for three greetings, which say nothing of that.

Change: `relay.role` is logged when a gateway becomes a reader or not, with the number of relays that it knows. The tests wait until all gateways know each other and two are readers, then until one more configuration has ended the old calls. No check or bound changes.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -130,6 +130,8 @@
         self._accept_until = float("inf")
         self._close_deadline = float("inf")
         self._was_ready = False
+        #: Whether this gateway reads from the store, and the number of relays known in its region.
+        self._relay_role = (False, 0)
 
     def start(self) -> None:
         """Opens the listeners."""
@@ -215,6 +217,10 @@
         self.relay_router.tick(now)
         if self.stopping or not self.relay_announcer.is_due(now):
             return
+        role = (self.source_selector.is_reader(now), len(self.region_relays(now)))
+        if role != self._relay_role:
+            self._relay_role = role
+            self.telemetry.event("relay.role", reader=role[0], relays=role[1])
         stager_ips = {
             row.entry.address.ip
             for row in self.upstreams
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -30,10 +30,25 @@
     deployment = Deployment(fleet, tmp_path, gateways=gateways)
     deployment.register_engine(stager.ip)
     deployment.start()
-    wait_until(lambda: len([n for n in stager.greeted.values() if n >= 3]) == gateways)
+    wait_until(lambda: has_settled(deployment, gateways))
+    # Ends the calls that were sent to the store before the other relays were known.
+    deployment.configure(added_routes=0)
+    wait_until(
+        lambda: all(last_configuration(deployment, n)["version"] == 2 for n in range(gateways))
+    )
     return deployment
 
 
+def has_settled(deployment, gateways):
+    """Returns whether all gateways know each other, and two of them are the readers."""
+    roles = []
+    for number in range(gateways):
+        lines = [line for line in deployment.log_lines(number) if line["event"] == "relay.role"]
+        roles += lines[-1:]
+    known = [line["relays"] == gateways for line in roles]
+    return len(known) == gateways and all(known) and sum(line["reader"] for line in roles) == 2
+
+
 def is_in_force(deployment, gateway, path):
     return deployment.send(path=path, conn=deployment.connect(gateway)).status == 200
 
--- a/tests/platform/test_registry_relay.py
+++ b/tests/platform/test_registry_relay.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.platform.deployment import Deployment, StagerStandIn, wait_until
+from tests.platform.test_configuration_relay import has_settled
 
 GATEWAYS = 5
 #: Seconds after which a leaving replica gets no new requests; `drain_ms` of the settings.
@@ -24,7 +25,8 @@
     deployment = Deployment(fleet, tmp_path, replicas=2, gateways=GATEWAYS)
     deployment.register_engine(stager.ip)
     deployment.start()
-    wait_until(lambda: len([n for n in stager.greeted.values() if n >= 3]) == GATEWAYS)
+    wait_until(lambda: has_settled(deployment, GATEWAYS))
+    # Ends the calls that were sent to the store before the other relays were known.
     deployment.configure(added_routes=1)
     wait_until(lambda: all(is_known(deployment, n, "configuration", version=2) for n in range(5)))
     yield deployment
