Do not reuse a connection on which a second response has arrived

Cause: `net.HttpClient`, which agents, stagers and the store client use, kept a connection although further bytes had arrived with a response. They were taken for the response to the next request. Calls under a claim open a connection of their own, so bookings were not affected.

Responses cut off in head or body failed their call already (14 cases added).

Change: such a connection is closed, as the upstream client does.

Measured: tests/net passes.

--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -282,7 +282,9 @@
         self._calls.discard(call)
         pool = self._idle[(call.address, call.port)]
         keep_alive = call.protocol.their_state is h11.DONE and len(pool) < _MAX_IDLE_PER_SERVER
-        if keep_alive and call.protocol.our_state is h11.DONE:
+        # After unsolicited bytes, later responses could not be matched to their requests.
+        trailing, closed = call.protocol.trailing_data
+        if keep_alive and call.protocol.our_state is h11.DONE and not trailing and not closed:
             conn.on_data = lambda _data: conn.close()
             conn.on_closed = lambda _reason: None
             pool.append((self._clock.now() + _IDLE_TIMEOUT_S, conn))
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -48,3 +48,37 @@
         assert not result.ok and result.error, name
         assert len(result.body) <= MAX_BODY_BYTES
         assert closed.wait(TIMEOUT_S)
+
+
+def test_connection_with_a_second_response_is_not_used_again():
+    """Guards against a repeated response that is taken for the one to the next request."""
+    upstream, results = RawUpstream(), queue.Queue()
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/1", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall((response + b"one") * 2)
+        assert results.get(timeout=TIMEOUT_S).body == b"one"
+        loop.call_at(0.0, lambda: client.call("GET", server, "/2", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(response + b"two")
+        assert results.get(timeout=TIMEOUT_S).body == b"two"
+
+
+@pytest.mark.parametrize("kept", range(0, 40, 3))
+def test_response_that_breaks_off_fails_the_call(kept):
+    """Guards against a head or body that is cut off and counts as a complete response."""
+    upstream, results = RawUpstream(), queue.Queue()
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(response[:kept])
+        conn.close()
+        result = results.get(timeout=TIMEOUT_S)
+        assert result.error and not result.ok
