Show that a restarted gateway does not know a superseded declaration

All four fail on the unchanged code: required_version is 0 in place of 2, and the request gets 200. test_version_that_was_not_declared_does_not_bind passes and limits the fix.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -19,6 +19,17 @@
 from fescuechute.wire import FrameDecoder, RelayOffer, encode
 from tests.harness import Fleet
 
+#: Path prefix of the requests to the model `m`, and the profile of its engines.
+MODEL_PATH = "/lm/"
+ENGINE = {
+    "slots": 16,
+    "kv_capacity": 1_000_000,
+    "step_ms": 8,
+    "read_per_s": 20_000,
+    "models": [{"name": "m"}],
+    "chunks": 2,
+    "chunk_bytes": 10,
+}
 #: Timeout of a wait in seconds; longer than every bound in the settings below.
 WAIT_S = 10.0
 HOST = "a.example"
@@ -132,10 +143,23 @@
         entry["models"] = [{"name": "m", "version": 1}]
         self.put_record("keyed.servers", "i-engine", entry)
 
+    def run_as_engine(self, index: int) -> None:
+        """Writes the registry entry of a replica that runs as an engine with version 1."""
+        entry = {"service": "lm", "address": f"127.0.0.1:{self.replicas[index].port}", "zone": "z"}
+        entry |= {"slots": 16, "state": "ready", "models": [{"name": "m", "version": 1}]}
+        self.put_record("keyed.servers", f"i-{index}", entry)
+
     def configure(
-        self, keys: tuple[str, ...] = ("k1",), added_routes: int = 0, **changes: Any
+        self,
+        keys: tuple[str, ...] = ("k1",),
+        added_routes: int = 0,
+        has_model: bool = False,
+        **changes: Any,
     ) -> None:
-        """Writes a new version of the configuration; added routes are `/added0/` and so on."""
+        """Writes a new version of the configuration; added routes are `/added0/` and so on.
+
+        With a model, there is a route to its engines at `MODEL_PATH`.
+        """
         self._version += 1
         route = {
             "name": "r",
@@ -152,15 +176,17 @@
         }
         stream = {**route, "path_prefix": "/s/", "kind": "streaming", "can_resume": True}
         once = {**route, "path_prefix": "/once/", "kind": "non_idempotent"}
+        services: list[dict[str, Any]] = [
+            {"name": "app", "health_path": "/health", "max_conns": 100}
+        ]
+        added = [{**route, "path_prefix": f"/added{n}/"} for n in range(added_routes)]
+        if has_model:
+            services.append({**services[0], "name": "lm", "engine": ENGINE})
+            added.append({**route, "path_prefix": MODEL_PATH, "service": "lm"})
         body = {
             "version": self._version,
-            "routes": [
-                route,
-                stream,
-                once,
-                *({**route, "path_prefix": f"/added{n}/"} for n in range(added_routes)),
-            ],
-            "services": [{"name": "app", "health_path": "/health", "max_conns": 100}],
+            "routes": [route, stream, once, *added],
+            "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
             "tenants": [{"name": "taller", "api_keys": list(keys)}],
         }
@@ -218,6 +244,8 @@
         conn = conn or self.connect()
         headers = {"Host": host, "X-Fescuechute-Request-Id": request_id}
         headers["X-Fescuechute-Deadline-Ms"] = "2500"
+        if path.startswith(MODEL_PATH):
+            headers["X-Fescuechute-Model"] = "m"
         if key:
             headers["Authorization"] = f"Token {key}"
         conn.request("POST", path, body=body, headers=headers)
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment, StagerStandIn, wait_until
+from tests.platform.deployment import MODEL_PATH, Deployment, StagerStandIn, wait_until
 
 #: Seconds within which a configuration is in force; `config_apply_ms` of the settings.
 CONFIG_APPLY_S = 2.0
@@ -115,6 +115,39 @@
     deployment.wait_for_line("ready", 2)
 
 
+@pytest.fixture
+def restarted_between_declarations(fleet, tmp_path, stager):
+    """A gateway that restarts after versions 2 and 3 were declared, and the time of version 2."""
+    deployment = start_region(fleet, tmp_path, stager, gateways=3)
+    deployment.configure(has_model=True)
+    deployment.run_as_engine(0)
+    wait_until(lambda: all(is_in_force(deployment, n, f"{MODEL_PATH}x") for n in range(3)))
+    declared_at = 0.0
+    for version in (2, 3):
+        deployment.put_record("keyed.op", "version/m", {"model": "m", "version": version})
+        declared_at = declared_at or time.time()
+        for gateway in range(3):
+            deployment.wait_for_line("version.declared", gateway, version=version)
+        time.sleep(2.0 if version == 2 else 0.0)
+    deployment.restart(2)
+    deployment.wait_for_line("version.declared", 2, version=3)
+    deployment.wait_for_line("ready", 2)
+    assert last_configuration(deployment, 2)["source"] != "store"
+    return deployment, declared_at
+
+
+def test_restarted_gateway_keeps_to_the_bound_of_a_superseded_declaration(
+    restarted_between_declarations,
+):
+    """Guards against requests on version 1 after the bound of version 2, which version 3 superseded."""
+    deployment, declared_at = restarted_between_declarations
+    time.sleep(max(0.0, declared_at + VERSION_S - time.time()))
+    # Version 3 was declared 2 s later and binds less than 1 s before its own bound.
+    while time.time() < declared_at + VERSION_S + 1.0:
+        assert not is_in_force(deployment, 2, f"{MODEL_PATH}x")
+        time.sleep(0.1)
+
+
 def test_declaration_of_unknown_date_binds_at_once(fleet, tmp_path, stager):
     """Guards against requests of a restarted gateway on weights whose bound has passed."""
     deployment = Deployment(fleet, tmp_path)
--- /dev/null
+++ b/tests/platform/test_gateway_records.py
@@ -0,0 +1,111 @@
+"""The operators' records at a gateway."""
+
+import json
+
+import pytest
+
+from fescuechute.feeds import Delivery, KeyedRecord, RecordBatch, SnapshotPage, Trimmed
+from fescuechute.gateway import GatewayDaemon
+
+RELAY = Delivery("127.0.0.1:17703", 100)
+#: Seconds from a declaration from which no request may start on older weights; `version_ms`.
+VERSION_S = 8.0
+
+
+class ScriptedLog:
+    """Answers each call with the next outcome."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def snapshot(self, topic, after, on_end):
+        on_end(self.outcomes.pop(0))
+
+    def read(self, topic, offset, wait_s, on_end):
+        on_end(self.outcomes.pop(0))
+
+
+class GatewayHarness:
+    """A gateway whose operators' topic is read from a scripted log."""
+
+    def __init__(self, directory):
+        settings = {
+            "node_name": "front-1",
+            "ip": "127.0.0.1",
+            "zone": "z",
+            "region": "r",
+            "zones": {"z": "r"},
+            "listen_addrs": {"front": "127.0.0.1:18005", "ready_addr": "127.0.0.1:18002"},
+            "port_range": [17700, 17715],
+            "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 7.3},
+            "bounds": {"version_ms": VERSION_S * 1000},
+            "platform": {"address": "127.0.0.1:2"},
+        }
+        path = directory / "node.json"
+        path.write_text(json.dumps(settings))
+        self.daemon = GatewayDaemon(str(path))
+        self.log = ScriptedLog()
+        self.daemon.operator_feed._log = self.log
+        self.daemon.relay_server.start(self.daemon.operator_feed)
+        self.started_at = self.daemon.clock.now()
+
+    def receive(self, *outcomes):
+        """Completes one call of the feed with each outcome."""
+        for outcome in outcomes:
+            self.log.outcomes.append(outcome)
+            self.daemon.operator_feed._next_call_at = 0.0
+            self.daemon.operator_feed.tick(self.daemon.clock.now())
+
+    def required_version(self, after_s=0.0):
+        """Returns the oldest allowed version at a time after the start of the gateway."""
+        return self.daemon.versions.required_version("m", self.started_at + after_s)
+
+
+@pytest.fixture
+def gateway(tmp_path):
+    return GatewayHarness(tmp_path)
+
+
+def declaration(offset, version):
+    value = json.dumps({"model": "m", "version": version}).encode()
+    return KeyedRecord(offset, "version/m", value)
+
+
+def test_snapshot_without_a_superseded_declaration_does_not_extend_its_bound(gateway):
+    """Guards against requests on version 1 after the bound of version 2, which version 3 superseded."""
+    snapshot = SnapshotPage((declaration(7, 3),), False, 8, RELAY, appended_after_s=(-4.0,))
+    gateway.receive(snapshot)
+    assert gateway.required_version(after_s=0.1) == 2
+    assert gateway.required_version(after_s=VERSION_S - 4.0) == 3
+
+
+def test_compacted_batch_does_not_extend_the_bound_of_a_superseded_declaration(gateway):
+    """Guards against requests on old weights at a gateway whose relay has compacted its records."""
+    gateway.receive(SnapshotPage((), False, 5, RELAY))
+    batch = RecordBatch((declaration(7, 3),), 8, RELAY, appended_after_s=6.0, compacted=True)
+    gateway.receive(batch)
+    assert gateway.required_version(after_s=1.0) == 0
+    assert gateway.required_version(after_s=VERSION_S + 0.1) == 2
+    assert gateway.required_version(after_s=VERSION_S + 6.1) == 3
+
+
+def test_snapshot_after_a_trimmed_log_does_not_extend_the_bound_of_a_superseded_declaration(
+    gateway,
+):
+    """Guards against requests on old weights at a gateway that missed records of the log."""
+    gateway.receive(SnapshotPage((), False, 5, RELAY), Trimmed())
+    snapshot = SnapshotPage((declaration(7, 3),), False, 8, RELAY, appended_after_s=(6.0,))
+    gateway.receive(snapshot)
+    assert gateway.required_version(after_s=1.0) == 0
+    assert gateway.required_version(after_s=VERSION_S + 0.1) == 2
+    assert gateway.required_version(after_s=VERSION_S + 6.1) == 3
+
+
+def test_version_that_was_not_declared_does_not_bind(gateway):
+    """Guards against refusals because of a version number that the operators left out."""
+    gateway.receive(
+        SnapshotPage((), False, 5),
+        RecordBatch((declaration(5, 3),), 6, appended_after_s=6.0),
+    )
+    assert gateway.required_version(after_s=VERSION_S + 5.0) == 0
+    assert gateway.required_version(after_s=VERSION_S + 6.1) == 3
