Count declarations that a compacted log left out as superseded

Versions between the newest known one and the one that arrives may have been declared at any time since the feed was last confirmed, if the response leaves out superseded records. The feed now says since when (Feed.earliest_omitted_at), and VersionTable lets the version directly before the new one bind from then, at once if the time is unknown. The version before the new one stays allowed until the new one binds.

A property test compares a gateway with one that saw each record, over declarations, restarts, trimmed logs and compaction; without the rule it fails at one declaration that follows another.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -102,6 +102,9 @@
         self.confirmed_at: float | None = None
         #: Unix seconds after which the records being handled were appended; None if unknown.
         self.earliest_appended_at: float | None = None
+        #: Unix seconds after which older records of the keys being handled may have been appended that
+        #: the log left out; infinity if it left out none, None if unknown.
+        self.earliest_omitted_at: float | None = None
         #: How the latest response with records arrived.
         self.delivery = Delivery()
         #: Unix seconds at which the log last failed, as seen by this process or by its source.
@@ -172,6 +175,7 @@
             self._snapshot_keys.clear()
         self._note_failure(outcome)
         self.delivery = outcome.delivery
+        self.earliest_omitted_at = self.confirmed_at
         dates = outcome.appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
             self.earliest_appended_at = (
@@ -193,6 +197,7 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         self.earliest_appended_at = self._appended_after(outcome)
+        self.earliest_omitted_at = self.confirmed_at if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
         for record in outcome.records:
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -328,23 +328,30 @@
             )
 
     def _apply_version_declaration(self, declared: VersionDeclaration, offset: int) -> None:
-        service_levels = self.settings.service_levels
         # A declaration of unknown date binds at once. Its bound may have passed, and a request that is
         # sent to an older version now may be delayed on its way.
+        unknown = float("-inf")
         earliest_declared_at = self.operator_feed.earliest_appended_at
-        binding_in_s = 0.0
-        if earliest_declared_at is None:
-            earliest_declared_at = float("-inf")
-        else:
-            binding_at = earliest_declared_at + service_levels.version_switch_s
-            binding_in_s = binding_at - self.clock.now()
-        if self.versions.declare(declared.model, declared.version, earliest_declared_at):
+        earliest_omitted_at = self.operator_feed.earliest_omitted_at
+        added = self.versions.declare(
+            declared.model,
+            declared.version,
+            unknown if earliest_declared_at is None else earliest_declared_at,
+            unknown if earliest_omitted_at is None else earliest_omitted_at,
+        )
+        bound_s = self.settings.service_levels.version_switch_s
+        for item in added:
+            binding_in_s = 0.0
+            if item.earliest_declared_at > unknown:
+                binding_in_s = item.earliest_declared_at + bound_s - self.clock.now()
             self.telemetry.event(
                 "version.declared",
                 model=declared.model,
-                version=declared.version,
+                version=item.version,
                 offset=offset,
                 binding_in_ms=round(binding_in_s * 1000),
+                # Not declared as far as known, but possibly superseded by this version.
+                implied_by=None if item.version == declared.version else declared.version,
             )
 
     def _on_registration(self, record: KeyedRecord) -> None:
--- a/fescuechute/gateway/_versions.py
+++ b/fescuechute/gateway/_versions.py
@@ -11,11 +11,17 @@
 #: rest of the margin lets the cancellation reach the replica, which drops a request when its
 #: connection closes.
 CANCEL_DELAY_S = 0.15
+#: Version that replicas hold before the first declaration.
+_FIRST_VERSION = 1
 
 
 @attrs.frozen
-class _Declaration:
+class Declaration:
+    """A declared version, or one that may have been declared before a known one."""
+
     version: int
+    #: Unix seconds before which it was not declared, minus infinity if unknown.
+    earliest_declared_at: float
     #: Unix seconds from which no request is sent to an older version.
     binding_at: float
 
@@ -29,23 +35,43 @@
 
     def __init__(self, bound_s: float):
         self._bound_s = bound_s
-        self._declarations: dict[str, list[_Declaration]] = {}
+        self._declarations: dict[str, list[Declaration]] = {}
+
+    def declare(
+        self,
+        model: str,
+        version: int,
+        earliest_declared_at: float,
+        earliest_omitted_at: float = float("inf"),
+    ) -> tuple[Declaration, ...]:
+        """Records a declaration, and one that it may have superseded.
 
-    def declare(self, model: str, version: int, earliest_declared_at: float) -> bool:
-        """Records a declaration; returns False if this or a newer version is already declared.
+        A compacted log holds the newest declaration only. Any version between the newest known one and
+        this one may have been declared as well, and forbids the versions before it. The version
+        directly before this one stands for all of them.
 
         Args:
           model: Name of the model.
           version: Declared version.
           earliest_declared_at: Unix seconds; the version was not declared before that time.
+          earliest_omitted_at: Unix seconds; declarations after that time may have been left out.
+
+        Returns:
+          The recorded declarations; none if this or a newer version is already declared.
         """
         declarations = self._declarations.setdefault(model, [])
-        if any(item.version >= version for item in declarations):
-            return False
-        declarations.append(
-            _Declaration(version, earliest_declared_at + self._bound_s - BINDING_MARGIN_S)
-        )
-        return True
+        newest = max(declarations, key=lambda item: item.version, default=None)
+        if newest is not None and newest.version >= version:
+            return ()
+        added = [self._declaration(version, earliest_declared_at)]
+        known = _FIRST_VERSION if newest is None else newest.version
+        if earliest_omitted_at < float("inf") and known < version - 1:
+            # Versions are declared in ascending order.
+            if newest is not None:
+                earliest_omitted_at = max(earliest_omitted_at, newest.earliest_declared_at)
+            added.insert(0, self._declaration(version - 1, earliest_omitted_at))
+        declarations.extend(added)
+        return tuple(added)
 
     def cancel_unstarted_at(self, model: str, version: int) -> float:
         """Returns the unix seconds at which requests not started on a version are cancelled."""
@@ -58,3 +84,7 @@
         """Returns the oldest version that new requests may be sent to, 0 for any."""
         declarations = self._declarations.get(model, ())
         return max((item.version for item in declarations if now >= item.binding_at), default=0)
+
+    def _declaration(self, version: int, earliest_declared_at: float) -> Declaration:
+        binding_at = earliest_declared_at + self._bound_s - BINDING_MARGIN_S
+        return Declaration(version, earliest_declared_at, binding_at)
--- /dev/null
+++ b/tests/gateway/test_versions.py
@@ -0,0 +1,151 @@
+"""Versions that a gateway allows after it has read a compacted log of declarations."""
+
+from random import Random
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fescuechute.feeds import (
+    Delivery,
+    Feed,
+    FeedSettings,
+    KeyedRecord,
+    RecordBatch,
+    SnapshotPage,
+    Trimmed,
+)
+from fescuechute.gateway import VersionTable
+from fescuechute.net import ManualClock
+
+BOUND_S = 8.0
+RELAY = Delivery("10.0.0.1:17703", 100)
+
+
+@attrs.frozen
+class Declared:
+    """A declaration in the log, and when it was appended."""
+
+    offset: int
+    version: int
+    at: float
+
+    @property
+    def record(self):
+        return KeyedRecord(self.offset, "version/m", b"%d" % self.version)
+
+
+class Gateway:
+    """A feed of declarations and the versions that it forbids."""
+
+    def __init__(self, clock):
+        self.clock, self.table, self._next = clock, VersionTable(BOUND_S), None
+        self.feed = Feed(
+            self, FeedSettings("t", 1.0), clock.now, self._declare, len, len, Random(1)
+        )
+
+    def snapshot(self, topic, after, on_end):
+        self._next = on_end
+
+    def read(self, topic, offset, wait_s, on_end):
+        self._next = on_end
+
+    def receive(self, outcome):
+        self.feed.tick(self.clock.time)
+        self._next(outcome)
+
+    def _declare(self, record):
+        dates = [self.feed.earliest_appended_at, self.feed.earliest_omitted_at]
+        self.table.declare(
+            "m", int(record.value), *(float("-inf") if date is None else date for date in dates)
+        )
+
+
+class Deployment:
+    """A log of declarations, a gateway that saw all of them and one that reads and restarts."""
+
+    def __init__(self):
+        self.clock, self.log = ManualClock(100.0), []
+        self.full = VersionTable(BOUND_S)
+        self.gateway = Gateway(self.clock)
+
+    def declare(self, step):
+        version = (self.log[-1].version if self.log else 1) + step
+        self.log.append(Declared(len(self.log), version, self.clock.time))
+        self.full.declare("m", version, self.clock.time)
+
+    def read(self, kept, dated):
+        """Reads with the newest `kept` declarations, with all of them if that is None."""
+        feed, end = self.gateway.feed, len(self.log)
+        found = [item for item in self.log if item.offset >= (feed.next_offset or 0)]
+        if kept is not None:
+            found = found[-kept:]
+        records = tuple(item.record for item in found)
+        now = self.clock.time
+        if not feed.complete:
+            dates = tuple(item.at - now - 0.3 if dated else None for item in found)
+            self.gateway.receive(
+                SnapshotPage(records[-1:], False, end)
+                if kept is None
+                else SnapshotPage(records, False, end, RELAY, appended_after_s=dates)
+            )
+        elif kept is None:
+            self.gateway.receive(RecordBatch(records, end))
+        else:
+            earliest = min((item.at - now - 0.3 for item in found), default=None)
+            date = earliest if dated else None
+            self.gateway.receive(
+                RecordBatch(records, end, RELAY, appended_after_s=date, compacted=True)
+            )
+
+    def check(self):
+        for after_s in range(12):
+            now = self.clock.time + after_s
+            required = self.full.required_version("m", now)
+            assert self.gateway.table.required_version("m", now) >= required, after_s
+
+
+ACTIONS = st.one_of(
+    st.tuples(st.just("advance"), st.floats(0.05, 5.0)),
+    st.tuples(st.just("declare"), st.integers(1, 3)),
+    st.tuples(st.just("read"), st.tuples(st.none() | st.integers(1, 3), st.booleans())),
+    st.tuples(st.sampled_from(["restart", "trim"]), st.none()),
+)
+
+
+@given(st.lists(ACTIONS, max_size=30))
+def test_no_compaction_allows_a_version_that_the_full_log_forbids(actions):
+    """Guards against requests on old weights at a gateway that missed superseded declarations."""
+    deployment = Deployment()
+    for action, argument in actions:
+        if action == "advance":
+            deployment.clock.advance(argument)
+        elif action == "declare":
+            deployment.declare(argument)
+        elif action == "restart":
+            deployment.gateway = Gateway(deployment.clock)
+        elif action == "trim" and deployment.gateway.feed.complete:
+            deployment.gateway.receive(Trimmed())
+        elif action == "read":
+            deployment.read(*argument)
+            deployment.check()
+
+
+@pytest.mark.parametrize(
+    ("name", "declared", "expected"),
+    [
+        ("the next version", [(2, 10.0, 0.0)], {2: 10.0}),
+        ("the first declaration", [(3, 10.0, 4.0)], {2: 4.0, 3: 10.0}),
+        ("unknown since when", [(3, 10.0, float("-inf"))], {2: float("-inf"), 3: 10.0}),
+        ("nothing left out", [(2, 1.0, 0.0), (5, 10.0, float("inf"))], {2: 1.0, 5: 10.0}),
+        ("a gap", [(2, 1.0, 0.0), (5, 10.0, 4.0)], {2: 1.0, 4: 4.0, 5: 10.0}),
+        ("a gap after a known date", [(2, 6.0, 0.0), (5, 10.0, 4.0)], {2: 6.0, 4: 6.0, 5: 10.0}),
+        ("an older version", [(3, 1.0, float("inf")), (2, 2.0, 0.0)], {3: 1.0}),
+    ],
+)
+def test_declarations_that_may_have_been_left_out_are_recorded(name, declared, expected):
+    """Guards against a bound that is counted from the wrong declaration."""
+    table = VersionTable(BOUND_S)
+    added = [item for row in declared for item in table.declare("m", *row)]
+    assert {item.version: item.earliest_declared_at for item in added} == expected, name
