Date each record of a relay's batch by its own append

A relay sends the date of each record and the earliest of them. The feed used the earliest for all records of a batch, so a declaration that arrived together with an older record bound too early, and requests were refused although the older version was still allowed. The new test fails on the code before: the second record is dated 3 s before the call in place of 1 s. The feed now uses the date of each record and the earliest one only for records without.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -196,11 +196,17 @@
 
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
-        self.earliest_appended_at = self._appended_after(outcome)
+        appended_at = self.earliest_appended_at = self._appended_after(outcome)
         self.earliest_omitted_at = self.confirmed_at if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
-        for record in outcome.records:
+        dates = outcome.record_appended_after_s or (None,) * len(outcome.records)
+        for record, appended_after_s in zip(outcome.records, dates, strict=True):
+            self.earliest_appended_at = (
+                appended_at
+                if appended_after_s is None
+                else self._call_started_at + appended_after_s
+            )
             self._on_record(record)
             self._next_offset = record.offset + 1
         if outcome.compacted and self._next_offset is not None:
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -266,3 +266,22 @@
     assert harness.feed.failed_at == called_at - 0.5
     harness.complete_call(Failure("status 503"))
     assert harness.feed.failed_at == harness.now
+
+
+def test_each_record_of_a_batch_has_its_own_date():
+    """Guards against a declaration that binds early because an older record came with it."""
+    harness, dates = FeedHarness(), {}
+    harness.complete_call(SnapshotPage((), False, 5))
+    harness.feed._on_record = lambda record: dates.__setitem__(
+        record.offset, harness.feed.earliest_appended_at
+    )
+    started_at = harness.now
+    batch = RecordBatch(
+        (make_record(5), make_record(6)),
+        7,
+        RELAY,
+        appended_after_s=-3.0,
+        record_appended_after_s=(-3.0, -1.0),
+    )
+    harness.complete_call(batch)
+    assert dates == {5: started_at - 3.0, 6: started_at - 1.0}
