Pass on superseded declarations until the next one binds

A relay kept only the newest record of each key.

The relay's cache now keeps a superseded record of the keys for which the daemon names a time, until that time has passed since the append of the record that superseded it: for declarations the bound of a version, for configurations none. Safety does not depend on these records.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -26,6 +26,7 @@
     decode_operator_record,
     decode_registration,
     decode_request,
+    is_version_declaration,
 )
 from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayRouter, RelayServer
 from fescuechute.runtime import REGISTRY_INTERVAL_S, Process
@@ -95,7 +96,9 @@
             ),
         )
         self.operator_log.relaying = True
-        self.relay_server = RelayServer(Topic.OPERATORS, self.operator_log, now, count)
+        self.relay_server = RelayServer(
+            Topic.OPERATORS, self.operator_log, now, count, self._superseded_ttl_s
+        )
         self.registry_log.relaying = True
         self.registry_relay = RelayServer(Topic.REGISTRY, self.registry_log, now, count)
         self.relay_router = RelayRouter(
@@ -305,6 +308,10 @@
 
     # Records.
 
+    def _superseded_ttl_s(self, key: str) -> float:
+        # The bound of a superseded declaration ends before that of the newer one.
+        return self.settings.service_levels.version_switch_s if is_version_declaration(key) else 0.0
+
     def _on_operator_record(self, record: KeyedRecord) -> None:
         self.relay_server.add(record)
         decoded = self.decode_record(decode_operator_record, record)
--- a/fescuechute/platform/__init__.py
+++ b/fescuechute/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_operator_record,
     decode_registration,
     decode_report,
+    is_version_declaration,
 )
 from fescuechute.platform._requests import (
     decode_request,
@@ -40,6 +41,7 @@
     "decode_response_meta",
     "encode_forwarded_headers",
     "is_response_to",
+    "is_version_declaration",
     "load_node_settings",
     "parse_node_settings",
 ]
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -43,7 +43,7 @@
     """
     if key == CONFIG_KEY:
         return _decode(_parse_configuration, key, value)
-    if key.startswith(VERSION_KEY_PREFIX):
+    if is_version_declaration(key):
         return _decode(
             lambda body: VersionDeclaration(_text(body["model"]), _integer(body["version"])),
             key,
@@ -52,6 +52,11 @@
     return None
 
 
+def is_version_declaration(key: str) -> bool:
+    """Returns whether an operators' record with a key declares a version."""
+    return key.startswith(VERSION_KEY_PREFIX)
+
+
 def decode_registration(key: str, value: bytes) -> Registration:
     """Decodes the registry entry of a replica; the key is its instance id.
 
--- a/fescuechute/relay/_server.py
+++ b/fescuechute/relay/_server.py
@@ -40,6 +40,8 @@
       log: Log from which the feed reads.
       now: Returns unix seconds.
       count: Increments a named counter.
+      superseded_ttl_s: Returns the seconds for which a record is passed on after a newer one of its
+        key, given the key.
     """
 
     def __init__(
@@ -48,16 +50,19 @@
         log: RelayedLog,
         now: Callable[[], float],
         count: Callable[[str], None],
+        superseded_ttl_s: Callable[[str], float] = lambda _key: 0.0,
     ):
         self._topic = topic
         self._log = log
         self._now = now
         self._count = count
+        self._superseded_ttl_s = superseded_ttl_s
         self._feed: Feed | None = None
         self._cache = RecordCache()
         self._waiting: list[_WaitingCall] = []
-        #: Encoded records of the last response, by the first requested offset and the end offset.
-        self._encoded: tuple[tuple[int, int], bytes] | None = None
+        #: Encoded records of the last response, by the first requested offset, the end offset and the
+        #: number of records, which falls when superseded ones expire.
+        self._encoded: tuple[tuple[int, int, int], bytes] | None = None
         #: Whether calls are accepted.
         self._open = False
 
@@ -76,7 +81,8 @@
     def add(self, record: KeyedRecord) -> None:
         """Adds a record that the feed has delivered; records without effect need not be added."""
         assert self._feed is not None
-        self._cache.add(record, self._feed.earliest_appended_at)
+        ttl_s = self._superseded_ttl_s(record.key)
+        self._cache.add(record, self._feed.earliest_appended_at, ttl_s)
 
     def retain(self, keys: frozenset[str]) -> None:
         """Removes the records of keys that a snapshot of the feed did not contain."""
@@ -132,6 +138,7 @@
 
     def _respond(self, call: _WaitingCall) -> None:
         assert self._feed is not None and self._feed.confirmed_at is not None
+        self._cache.evict(self._now())
         found = self._cache.since(call.offset)
         end = self._next_offset
         appended_after_s = _earliest(found)
@@ -152,8 +159,9 @@
 
     def _encode(self, offset: int, end: int, found: list[CachedRecord]) -> bytes:
         # Most processes of a region ask for the same records.
-        if self._encoded is None or self._encoded[0] != (offset, end):
-            self._encoded = ((offset, end), encode_records(known.record for known in found))
+        scope = (offset, end, len(found))
+        if self._encoded is None or self._encoded[0] != scope:
+            self._encoded = (scope, encode_records(known.record for known in found))
         return self._encoded[1]
 
 
--- a/tests/platform/test_configuration_relay.py
+++ b/tests/platform/test_configuration_relay.py
@@ -148,6 +148,19 @@
         time.sleep(0.1)
 
 
+def test_restarted_gateway_sends_to_a_version_until_its_bound(restarted_between_declarations):
+    """Guards against refusals before the bound because a superseded declaration is not known."""
+    deployment, declared_at = restarted_between_declarations
+    line = deployment.wait_for_line("version.declared", 2, version=2)
+    binding_at = line["at"] + line["binding_in_ms"] / 1000
+    assert declared_at + VERSION_S - 2.0 <= binding_at <= declared_at + VERSION_S
+    assert line["implied_by"] is None
+    assert time.time() < binding_at - 1.0
+    while time.time() < binding_at - 1.0:
+        assert is_in_force(deployment, 2, f"{MODEL_PATH}x")
+        time.sleep(0.1)
+
+
 def test_declaration_of_unknown_date_binds_at_once(fleet, tmp_path, stager):
     """Guards against requests of a restarted gateway on weights whose bound has passed."""
     deployment = Deployment(fleet, tmp_path)
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -60,12 +60,14 @@
 class Reader:
     """A relay that reads from the store."""
 
-    def __init__(self):
+    def __init__(self, superseded_ttl_s=0.0):
         self.clock, self.store, self.http = ManualClock(100.0), FakeStore(), FakeHttp()
         selector = SourceSelector("front-0/a", "d", lambda _now: [RELAYS[0]])
         self.log = RelayedLog(self.store, self.http, selector, TIMING, self.clock.now)
         self.log.relaying = True
-        self.server = RelayServer("t", self.log, self.clock.now, lambda _name: None)
+        self.server = RelayServer(
+            "t", self.log, self.clock.now, lambda _name: None, lambda _key: superseded_ttl_s
+        )
         self.feed = Feed(
             self.log,
             FeedSettings("t", 9.0),
--- a/tests/relay/test_cache_and_codec.py
+++ b/tests/relay/test_cache_and_codec.py
@@ -8,6 +8,7 @@
 from fescuechute.errors import WireError
 from fescuechute.feeds import KeyedRecord
 from fescuechute.relay import RecordCache, decode_batch, encode_batch
+from fescuechute.relay._cache import MAX_SUPERSEDED
 from fescuechute.relay._codec import MAX_BATCH_BYTES, encode_records
 
 
@@ -24,6 +25,54 @@
     assert offsets(cache, 5) == [(5, b"5")]
 
 
+def test_superseded_records_are_kept_until_they_expire():
+    """Guards against restarted gateways that do not know the bound of a superseded declaration."""
+    cache = RecordCache()
+    for offset, at in [(1, 10.0), (3, 12.0), (6, 14.0)]:
+        cache.add(KeyedRecord(offset, "a", b"%d" % offset), at, 8.0)
+        cache.add(KeyedRecord(offset + 1, "b", b"%d" % offset), at)
+    assert offsets(cache, 0) == [(1, b"1"), (3, b"3"), (6, b"6"), (7, b"6")]
+    assert [known.appended_after for known in cache.since(3)] == [12.0, 14.0, 14.0]
+    cache.evict(20.0)
+    assert offsets(cache, 0) == [(3, b"3"), (6, b"6"), (7, b"6")]
+    cache.evict(22.0)
+    assert offsets(cache, 0) == [(6, b"6"), (7, b"6")]
+
+
+@pytest.mark.parametrize(
+    ("name", "delete"),
+    [
+        ("deletion", lambda cache: cache.add(KeyedRecord(3, "a", None), 5.0, 8.0)),
+        ("snapshot without the key", lambda cache: cache.retain(frozenset(), end=4)),
+    ],
+)
+def test_deletion_removes_superseded_records(name, delete):
+    """Guards against a deleted key that returns from a snapshot of a relay."""
+    cache = RecordCache()
+    for offset in (1, 2):
+        cache.add(KeyedRecord(offset, "a", b"v"), 4.0, 8.0)
+    delete(cache)
+    assert offsets(cache, 0) == [(3, None)], name
+    cache.add(KeyedRecord(5, "a", b"new"), 6.0, 8.0)
+    assert offsets(cache, 0) == [(5, b"new")], name
+
+
+def test_record_of_unknown_date_removes_superseded_records():
+    """Guards against superseded records that are kept for an unknown time."""
+    cache = RecordCache()
+    cache.add(KeyedRecord(1, "a", b"1"), 4.0, 8.0)
+    cache.add(KeyedRecord(2, "a", b"2"), None, 8.0)
+    assert offsets(cache, 0) == [(2, b"2")]
+
+
+def test_superseded_records_of_a_key_are_limited():
+    """Guards against memory that grows with the rate of declarations."""
+    cache = RecordCache()
+    for offset in range(100):
+        cache.add(KeyedRecord(offset, "a", b"v"), 4.0, 8.0)
+    assert [offset for offset, _ in offsets(cache, 0)] == list(range(99 - MAX_SUPERSEDED, 100))
+
+
 def test_keys_missing_from_a_snapshot_are_passed_on_as_deleted():
     """Guards against keys that stay at readers after the topic was compacted."""
     cache = RecordCache()
--- a/tests/relay/test_relay_server.py
+++ b/tests/relay/test_relay_server.py
@@ -158,3 +158,18 @@
     reader.complete(RecordBatch((), 5))
     reader.clock.advance(0.5)
     assert reader.ask(0).batch.failed_after_s == pytest.approx(-0.5)
+
+
+def test_expired_record_is_left_out_of_the_next_response():
+    """Guards against a response with fewer dates than records, which readers refuse."""
+    reader = Reader(superseded_ttl_s=8.0)
+    reader.load()
+    for offset in range(2):
+        reader.complete(RecordBatch((KeyedRecord(offset, "k", b"v"),), offset + 1), after_s=0.5)
+    batch = reader.ask(0).batch
+    assert [record.offset for record in batch.records] == [0, 1]
+    reader.clock.advance(8.1)
+    reader.complete(empty_batch(2))
+    batch = reader.ask(0).batch
+    assert [record.offset for record in batch.records] == [1]
+    assert len(batch.record_appended_after_s) == 1
--- a/tests/relay/test_relayed_log.py
+++ b/tests/relay/test_relayed_log.py
@@ -127,3 +127,18 @@
         follower.store.calls.pop()[1](empty_batch(5))
         follower.clock.advance(10.0)
     assert sorted(follower.failed_sources) == [relay.process_id for relay in RELAYS]
+
+
+def test_snapshot_of_a_relay_keeps_the_order_of_the_records_of_a_key():
+    """Guards against a declaration that is ignored because a newer one came before it."""
+    follower = Follower()
+    keys = [(2, "b"), (5, "a"), (7, "b"), (9, "a"), (12, "b")]
+    records = [KeyedRecord(offset, key, b"v") for offset, key in keys]
+    dates = [-float(offset) for offset, _ in keys]
+    body = encode_batch(encode_records(records), 13, 0.0, -12.0, None, dates)
+    follower.log.snapshot("t", "", follower.outcomes.append)
+    _, _, _, on_end = follower.http.calls.pop()
+    on_end(make_result(body=body))
+    (page,) = follower.outcomes
+    assert [record.offset for record in page.records] == [5, 9, 2, 7, 12]
+    assert page.appended_after_s == (-5.0, -9.0, -2.0, -7.0, -12.0)
