Keep the valid operators' record at relays after a malformed one

After a malformed configuration or declaration the record before it holds, at processes that run. A relay passed the malformed record on and dropped the valid one, so a gateway or stager that started later and read from it had no configuration, or did not know the declared version. No caller has reported it. The relay now leaves malformed records of configurations and declarations out; deletions and records of other kinds are passed on as before. The new test fails on the code before for both kinds.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -26,6 +26,7 @@
     decode_operator_record,
     decode_registration,
     decode_request,
+    is_operator_record,
     is_version_declaration,
 )
 from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayRouter, RelayServer
@@ -313,8 +314,11 @@
         return self.settings.service_levels.version_switch_s if is_version_declaration(key) else 0.0
 
     def _on_operator_record(self, record: KeyedRecord) -> None:
-        self.relay_server.add(record)
         decoded = self.decode_record(decode_operator_record, record)
+        malformed = decoded is None and record.value is not None and is_operator_record(record.key)
+        # After a malformed record the one before it holds, also at processes that start later.
+        if not malformed:
+            self.relay_server.add(record)
         if isinstance(decoded, Configuration):
             self._apply_configuration(decoded, record.offset)
         elif isinstance(decoded, VersionDeclaration):
--- a/fescuechute/platform/__init__.py
+++ b/fescuechute/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_operator_record,
     decode_registration,
     decode_report,
+    is_operator_record,
     is_version_declaration,
 )
 from fescuechute.platform._requests import (
@@ -40,6 +41,7 @@
     "decode_request",
     "decode_response_meta",
     "encode_forwarded_headers",
+    "is_operator_record",
     "is_response_to",
     "is_version_declaration",
     "load_node_settings",
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -52,6 +52,11 @@
     return None
 
 
+def is_operator_record(key: str) -> bool:
+    """Returns whether `decode_operator_record` decodes the records of a key."""
+    return key == CONFIG_KEY or is_version_declaration(key)
+
+
 def is_version_declaration(key: str) -> bool:
     """Returns whether an operators' record with a key declares a version."""
     return key.startswith(VERSION_KEY_PREFIX)
--- a/tests/platform/test_gateway_records.py
+++ b/tests/platform/test_gateway_records.py
@@ -109,3 +109,30 @@
     )
     assert gateway.required_version(after_s=VERSION_S + 5.0) == 0
     assert gateway.required_version(after_s=VERSION_S + 6.1) == 3
+
+
+@pytest.mark.parametrize(
+    ("name", "key", "valid"),
+    [
+        ("configuration", "config", b'{"version": 2, "routes": [], "services": []}'),
+        ("declaration", "version/m", b'{"model": "m", "version": 2}'),
+    ],
+)
+def test_malformed_record_does_not_replace_the_one_in_force_at_a_relay(gateway, name, key, valid):
+    """Guards against gateways that lose the configuration or a declaration when they restart."""
+    gateway.receive(
+        SnapshotPage((KeyedRecord(0, key, valid),), False, 1),
+        RecordBatch((KeyedRecord(1, key, b"{"),), 2),
+    )
+    cached = gateway.daemon.relay_server._cache.since(0)
+    assert [item.record.value for item in cached] == [valid], name
+
+
+def test_deletions_and_unused_records_are_passed_on(gateway):
+    """Guards against keys that stay at processes that read from a relay."""
+    gateway.receive(
+        SnapshotPage((KeyedRecord(0, "config", b"{"), KeyedRecord(1, "other", b"{")), False, 2),
+        RecordBatch((KeyedRecord(2, "config", None),), 3),
+    )
+    cached = gateway.daemon.relay_server._cache.since(0)
+    assert [(item.record.offset, item.record.value) for item in cached] == [(1, b"{"), (2, None)]
