--- a/fescuechute/platform/__init__.py
+++ b/fescuechute/platform/__init__.py
@@ -11,6 +11,8 @@
     decode_operator_record,
     decode_registration,
     decode_report,
+    is_operator_record,
+    is_version_declaration,
 )
 from fescuechute.platform._requests import (
     decode_request,
@@ -39,7 +41,9 @@
     "decode_request",
     "decode_response_meta",
     "encode_forwarded_headers",
+    "is_operator_record",
     "is_response_to",
+    "is_version_declaration",
     "load_node_settings",
     "parse_node_settings",
 ]
