Reject records whose numbers, ids or texts later steps cannot use

Cause: the decoders checked types but no ranges; float() of a large integer raises OverflowError, which is not declared, and connect, msgpack and h11 raise later on the rest.

Evidence: tests/platform/test_odd_records.py, 27 cases of records failed on the code before, among them "timeout of 400 digits" and "pace of 400 digits" with OverflowError.

Change: whole numbers fit in 64 bits, others are finite and at most 1e15, texts can be encoded, ids can be header values, addresses are IPv4, engines have slots and a speed. The detail of an error is ASCII and short.

--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -28,6 +28,12 @@
 _SECONDS_PER_MS = 1e-3
 _MEGA = 1e6
 _SHA256_BYTES = 32
+#: Largest whole number and largest absolute value of a number in a record. Whole numbers are passed
+#: on in msgpack, which holds 64 bits; sums and products of the others stay finite.
+_MAX_INTEGER = (1 << 63) - 1
+_MAX_NUMBER = 1e15
+#: Maximum length of the detail of an error, in characters; records may hold any text.
+_MAX_DETAIL_CHARS = 200
 _RETRY_POLICY_BY_KIND = {
     "idempotent": RetryPolicy.IDEMPOTENT,
     "non_idempotent": RetryPolicy.ONCE,
@@ -96,11 +102,17 @@
         return parse(body)
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
         raise PlatformError(
-            f"The record {key} cannot be read: {type(exc).__name__}: {exc}.",
+            f"The record {_excerpt(key)} cannot be read: {type(exc).__name__}: {_excerpt(exc)}.",
             "Correct it at its writer; until then the record before it holds.",
         ) from exc
 
 
+def _excerpt(value: object) -> str:
+    """Returns the start of a text in ASCII; surrogates could not be written to logs and metrics."""
+    text = str(value).encode("ascii", "backslashreplace").decode()
+    return text if len(text) <= _MAX_DETAIL_CHARS else f"{text[:_MAX_DETAIL_CHARS]}..."
+
+
 def _parse_configuration(body: Mapping[str, Any]) -> Configuration:
     limits = body.get("limits") or {}
     services = [_parse_service(item) for item in body["services"]]
@@ -116,7 +128,7 @@
         ),
         workspaces=tuple(
             Workspace(
-                _text(item["name"]),
+                _field_value(item["name"]),
                 tuple(_text(key) for key in item.get("api_keys") or ()),
                 # Overrides the rank of the route.
                 None if item.get("priority") is None else _integer(item["priority"]),
@@ -171,13 +183,13 @@
     models = item.get("models") or [{}]
     usual = item.get("usual") or {}
     return EngineProfile(
-        slots=_integer(item["slots"]),
+        slots=_integer(item["slots"], at_least=1),
         kv_capacity_tokens=_integer(item["kv_capacity"]),
         step_s=_number(item["step_ms"]) * _SECONDS_PER_MS,
         step_per_request_s=_number(item.get("per_seq_ms", 0)) * _SECONDS_PER_MS,
         # `context_per_k` is in milliseconds per 1,000 tokens.
         step_per_token_s=_number(item.get("context_per_k", 0)) * _SECONDS_PER_MS / 1000,
-        prefill_tokens_per_s=_number(item["read_per_s"]),
+        prefill_tokens_per_s=_positive(item["read_per_s"]),
         # `pairs_per_m` is in milliseconds per million token pairs.
         prefill_per_pair_s=_number(item.get("pairs_per_m", 0)) * _SECONDS_PER_MS / 1e6,
         stride=_integer(item.get("stride", 1)),
@@ -195,12 +207,13 @@
 
 def _parse_registration(key: str, body: Mapping[str, Any]) -> Registration:
     return Registration(
-        instance=key,
+        # Requests name the replica in a header field.
+        instance=_field_value(key),
         service=_text(body["service"]),
         address=_parse_address(body["address"]),
         data_centre=_text(body["zone"]),
         state=UpstreamState(body["state"]),
-        slots=_integer(body.get("slots", 1)),
+        slots=_integer(body.get("slots", 1), at_least=0),
         models=_parse_models(body),
         born_ms=_integer(body.get("born", 0)),
     )
@@ -236,22 +249,45 @@
     address = IpPort().read(value, "address", findings)
     if address is INVALID:
         raise ValueError(findings.problems[0].found)
+    if ":" in address.ip:
+        raise ValueError(f"{address} is no IPv4 address")
     return address
 
 
 def _text(value: object) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"{value!r} is no text")
+        raise TypeError(f"{value!r:.80} is no text")
+    # Fails for surrogates, which neither msgpack nor a header field can hold.
+    value.encode()
     return value
 
 
+def _field_value(value: object) -> str:
+    """Returns a text that can be the value of a header field."""
+    text = _text(value)
+    if not text or not text.isprintable() or text != text.strip():
+        raise ValueError(f"{text!r:.80} is no value of a header field")
+    return text
+
+
 def _number(value: object) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"{value!r} is no number")
+        raise TypeError(f"{value!r:.80} is no number")
+    if not -_MAX_NUMBER <= value <= _MAX_NUMBER:
+        raise ValueError(f"{value!r:.80} is out of range")
     return float(value)
 
 
-def _integer(value: object) -> int:
+def _positive(value: object) -> float:
+    number = _number(value)
+    if number <= 0.0:
+        raise ValueError(f"{number} is not positive")
+    return number
+
+
+def _integer(value: object, at_least: int = -_MAX_INTEGER) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r} is no whole number")
+        raise TypeError(f"{value!r:.80} is no whole number")
+    if not at_least <= value <= _MAX_INTEGER:
+        raise ValueError(f"{value!r:.80} is out of range")
     return value
