Treat request fields with too many digits as absent

Callers: a request whose deadline, last event id or token count had 400 or more digits got no answer at all.

Cause: int() refuses more than 4,300 digits with a ValueError, and the division of a larger one by 1,000 raises OverflowError; both ended the event handler that reads the connection.

Evidence: test_request_field_with_too_many_digits_counts_as_absent failed for 19, 400 and 5,000 digits on the code before (a timeout of 1e16 s, OverflowError, ValueError); it passes now.

--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -17,6 +17,8 @@
         names.EXPECT_VERSION,
     }
 )
+#: Digits of a number in a field; each number of so many digits fits in 64 bits.
+_MAX_DIGITS = 18
 
 
 def decode_request(headers: Headers) -> RequestMeta:
@@ -86,4 +88,4 @@
     if value is None:
         return None
     text = value.strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= _MAX_DIGITS else None
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -11,6 +11,7 @@
     decode_operator_record,
     decode_registration,
     decode_report,
+    decode_request,
 )
 from fescuechute.platform._records import decode_manifest
 
@@ -154,6 +155,20 @@
     assert len(str(caught.value)) < 600
 
 
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_request_field_with_too_many_digits_counts_as_absent(digits):
+    """Guards against requests without an answer because a field holds too large a number."""
+    number = b"9" * digits
+    meta = decode_request(
+        [
+            (b"X-Fescuechute-Deadline-Ms", number),
+            (b"Last-Event-Id", number),
+            (b"X-Fescuechute-Token-Count", number + b"," + number),
+        ]
+    )
+    assert (meta.client_timeout_s, meta.last_event_id, meta.prompt_tokens) == (None, None, 0)
+
+
 # Arbitrary records.
 
 _NUMBERS = st.one_of(
