Fail connections to unusable addresses like any other

Callers: a request to a replica whose address no socket takes had no answer; a stager with such a peer did nothing else in any tick, and a feed that read from a relay at such an address never made another call.

Cause: connect_ex and sendto raise OverflowError, TypeError or gaierror for a port over 65535, IPv6, a null or a surrogate, where callers expect a failed connection; a host name was looked up, which blocks the loop.

Change: an address that is no IPv4 address with a port from 1 to 65535 fails the connection in the next tick, and a datagram to it is dropped and counted.

--- a/fescuechute/net/_datagrams.py
+++ b/fescuechute/net/_datagrams.py
@@ -9,6 +9,7 @@
 from circuits.core.pollers import EPoll
 
 from fescuechute.errors import WireError
+from fescuechute.net._sockets import is_usable_address
 from fescuechute.wire import FrameDecoder, Message, encode
 
 #: Receive buffer: the largest UDP payload over IPv4, in bytes.
@@ -52,6 +53,9 @@
         """Sends a message, or drops and counts it if the kernel does not accept it immediately."""
         if self._sock is None:
             return
+        if not is_usable_address(*to):
+            self._count("datagrams.not_sent.unusable_address")
+            return
         try:
             self._sock.sendto(encode(msg), to)
         except OSError as exc:
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -32,6 +32,7 @@
 _KEEPALIVE_MAX_PROBES = 2
 #: Milliseconds that sent data may stay unacknowledged; the same 3 s limit as for keep-alive.
 _TCP_USER_TIMEOUT_MS = 3000
+_MAX_PORT = 65_535
 
 
 class Connection:
@@ -222,10 +223,14 @@
             self._listener = None
 
     def open_connection(self, address: str, port: int) -> Connection:
-        """Starts connecting to an address and returns the connection."""
+        """Starts connecting to an address and returns the connection.
+
+        The connection fails later if the address is no IPv4 address with a port.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         _set_options(sock)
-        code = sock.connect_ex((address, port))
+        is_usable = is_usable_address(address, port)
+        code = sock.connect_ex((address, port)) if is_usable else errno.EADDRNOTAVAIL
         conn = Connection(self, sock, connecting=True)
         self._add_connection(sock, conn)
         if code not in (0, errno.EINPROGRESS):
@@ -323,6 +328,15 @@
         return self._poller
 
 
+def is_usable_address(address: str, port: int) -> bool:
+    """Returns whether an address is an IPv4 address, not a host name, with a port that exists."""
+    try:
+        socket.inet_pton(socket.AF_INET, address)
+    except (OSError, ValueError):
+        return False
+    return 0 < port <= _MAX_PORT
+
+
 def _set_options(sock: socket.socket) -> None:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
