Check the types and ranges of a relay's batch

Callers: a gateway or stager that receives a batch with an infinite offset never reads the operators' records or the registry again, so it keeps old keys and replicas; with a confirmation at infinity it trusts them for ever.

Cause: int() of infinity raises OverflowError, which decode_batch does not declare, inside the callback of the call; keys, values and dates were converted or passed on whatever they were.

Change: offsets, keys, values and seconds have their types and are finite, or the batch is a WireError, after which the next source is tried.

--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Iterable, Sequence
 
@@ -59,20 +60,44 @@
         rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
         if not inflater.eof:
             raise ValueError(f"its records are incomplete or exceed {MAX_BATCH_BYTES} bytes")
+        if not isinstance(rows, list) or not isinstance(dates, list):
+            raise TypeError("its records or their dates are no list")
         if len(dates) not in (0, len(rows)):
             raise ValueError(f"it dates {len(dates)} of {len(rows)} records")
         return RecordBatch(
-            tuple(KeyedRecord(int(offset), str(key), value) for offset, key, value in rows),
-            int(end),
+            tuple(_record(*row) for row in rows),
+            _offset(end),
             Delivery(source, len(data), transfer_s),
-            float(confirmed_after_s),
-            None if appended_after_s is None else float(appended_after_s),
-            failed_after_s=None if failed_after_s is None else float(failed_after_s),
+            _seconds(confirmed_after_s),
+            _optional_seconds(appended_after_s),
+            failed_after_s=_optional_seconds(failed_after_s),
             compacted=True,
-            record_appended_after_s=tuple(None if date is None else float(date) for date in dates),
+            record_appended_after_s=tuple(_optional_seconds(date) for date in dates),
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
-            f"The response of the relay {source} is no batch: {exc}.",
+            f"The response of the relay {source} is no batch: {exc!s:.200}.",
             "Run the same release on both ends.",
         ) from exc
+
+
+def _record(offset: object, key: object, value: object) -> KeyedRecord:
+    if not isinstance(key, str) or not isinstance(value, bytes | None):
+        raise TypeError("a record has a key or a value of another type")
+    return KeyedRecord(_offset(offset), key, value)
+
+
+def _offset(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError(f"{value!r:.80} is no offset")
+    return value
+
+
+def _seconds(value: object) -> float:
+    if not isinstance(value, int | float) or not math.isfinite(value):
+        raise TypeError(f"{value!r:.80} is no number of seconds")
+    return float(value)
+
+
+def _optional_seconds(value: object) -> float | None:
+    return None if value is None else _seconds(value)
