Keep records with odd keys as single records

Callers: one key of another writer that is not UTF-8 stops every reader of the topic: no replica is added, moved or drained any more, since the same batch is refused at each read.

Change: bytes that are no text are kept as surrogate escapes from the store through the relays; only the decoder of the entry refuses the key.

--- a/fescuechute/platform/_store.py
+++ b/fescuechute/platform/_store.py
@@ -28,6 +28,9 @@
 _READ_HEADER = struct.Struct(">QQ")
 #: Length prefix of each record in a read response.
 _LENGTH = struct.Struct(">I")
+#: Handling of bytes of a key that are not UTF-8: each becomes a surrogate, so that a key of any form
+#: can be compared and passed on. No id of a replica has surrogates.
+_KEY_ERRORS = "surrogateescape"
 
 
 class Topic(enum.StrEnum):
@@ -52,7 +55,7 @@
         """Fetches a page of the newest record of each key, in key order, starting after `after`."""
         path = f"{names.LOG_NEWEST_PATH}?topic={topic}&part=0"
         if after:
-            path += f"&after={quote(after, safe='')}"
+            path += f"&after={quote(after, safe='', errors=_KEY_ERRORS)}"
         self._get(path, 0.0, lambda result: on_end(_snapshot_outcome(result)))
 
     def read(
@@ -95,11 +98,11 @@
     body = result.json()
     try:
         records = tuple(
-            KeyedRecord(item["offset"], item["key"], base64.b64decode(item["value"]))
+            KeyedRecord(item["offset"], _key(item["key"]), base64.b64decode(item["value"]))
             for item in body["items"]
         )
         return SnapshotPage(records, bool(body["has_more"]), int(body["end"]), _delivery(result))
-    except (KeyError, TypeError, ValueError, binascii.Error) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as exc:
         return Failure(f"malformed page: {type(exc).__name__}: {exc}")
 
 
@@ -110,7 +113,7 @@
         return _failure(result)
     try:
         return _parse_batch(result.body, offset, _delivery(result))
-    except (struct.error, IndexError, UnicodeDecodeError) as exc:
+    except (struct.error, IndexError) as exc:
         return Failure(f"malformed records: {type(exc).__name__}: {exc}")
 
 
@@ -122,7 +125,7 @@
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
         key_end = position + 1 + body[position]
-        key = body[position + 1 : key_end].decode()
+        key = body[position + 1 : key_end].decode(errors=_KEY_ERRORS)
         value = body[key_end : position + length]
         # An empty value is a tombstone: it deletes the key.
         records.append(KeyedRecord(offset + len(records), key, value or None))
@@ -130,6 +133,10 @@
     return RecordBatch(tuple(records), end, delivery)
 
 
+def _key(value: str) -> str:
+    return value.encode(errors="surrogatepass").decode(errors=_KEY_ERRORS)
+
+
 def _delivery(result: HttpResult) -> Delivery:
     return Delivery(size=len(result.body), transfer_s=result.transfer_s)
 
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -15,12 +15,14 @@
 _COMPRESSION_LEVEL = 1
 #: Limit on the records of one batch in bytes, which bounds the memory that a peer can make a reader use.
 MAX_BATCH_BYTES = 16 << 20
+#: Handling of bytes of a key that are not UTF-8, as in the records of the store.
+_KEY_ERRORS = "surrogateescape"
 
 
 def encode_records(records: Iterable[KeyedRecord]) -> bytes:
     """Returns the compressed records."""
     rows = [(record.offset, record.key, record.value) for record in records]
-    return zlib.compress(msgpack.packb(rows), _COMPRESSION_LEVEL)
+    return zlib.compress(msgpack.packb(rows, unicode_errors=_KEY_ERRORS), _COMPRESSION_LEVEL)
 
 
 def encode_batch(
@@ -57,7 +59,9 @@
             msgpack.unpackb(data)
         )
         inflater = zlib.decompressobj()
-        rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
+        rows = msgpack.unpackb(
+            inflater.decompress(compressed, MAX_BATCH_BYTES), unicode_errors=_KEY_ERRORS
+        )
         if not inflater.eof:
             raise ValueError(f"its records are incomplete or exceed {MAX_BATCH_BYTES} bytes")
         if not isinstance(rows, list) or not isinstance(dates, list):
