Log a malformed record once and count it by its reason

Operators: an entry that its writer renews each second filled the log with the same line at every machine; the counter had no reason.

Cause: the event was written at each read, for each key, without a bound.

Evidence: the two tests of tests/platform/test_invalid_records.py failed on the code before (three lines in place of one, 5,000 lines for 5,000 keys).

Change: one line a key until it is sound again or its reason changes, for 1,024 keys at most; the counter record.invalid with the reason counts every read. Both tests pass.

--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -40,6 +40,8 @@
 REGISTRY_INTERVAL_S = 1.0
 #: Maximum length of a traceback in a log line, in characters; its end is kept.
 _MAX_TRACE_CHARS = 2000
+#: Keys with malformed records that are logged; those of more keys are only counted.
+_MAX_INVALID_KEYS = 1024
 
 
 class _ExceptionReporter(BaseComponent):
@@ -106,6 +108,8 @@
             store_waits=False,
         )
         self.stopping = False
+        #: Reason of the last malformed record of each key that has one.
+        self._invalid_reasons: dict[str, str] = {}
 
     # Hooks for subclasses.
 
@@ -156,7 +160,13 @@
             self.telemetry.event(name, dependency=f"store/{settings.topic}", reason=reason)
 
         return Feed(
-            log or self.store, settings, self.clock.now, on_record, on_snapshot, on_state, self.rng
+            log or self.store,
+            settings,
+            self.clock.now,
+            on_record,
+            on_snapshot,
+            on_state,
+            self.rng,
         )
 
     def region_relays(self, now: float) -> list[RelayAddress]:
@@ -164,14 +174,29 @@
         return self.relays.in_region(self.settings.region, now)
 
     def decode_record(self, decode: Callable[[str, bytes], T], record: KeyedRecord) -> T | None:
-        """Returns the decoded record, or None for a deleted key or a malformed record, which it logs."""
+        """Returns the decoded record, or None for a deleted key or a malformed record.
+
+        A malformed record is counted each time, but logged only if the one before it was sound or had
+        another reason: its writer may renew it each second.
+        """
         if record.value is None:
+            self._invalid_reasons.pop(record.key, None)
             return None
         try:
-            return decode(record.key, record.value)
+            decoded = decode(record.key, record.value)
         except PlatformError as exc:
-            self.telemetry.event("record.invalid", key=record.key, detail=str(exc))
+            self._report_invalid(record.key, type(exc.__cause__).__name__, str(exc))
             return None
+        self._invalid_reasons.pop(record.key, None)
+        return decoded
+
+    def _report_invalid(self, key: str, reason: str, detail: str) -> None:
+        known = self._invalid_reasons.get(key)
+        if known == reason or (known is None and len(self._invalid_reasons) >= _MAX_INVALID_KEYS):
+            self.telemetry.count("record.invalid", reason)
+            return
+        self._invalid_reasons[key] = reason
+        self.telemetry.event("record.invalid", key=key, reason=reason, detail=detail)
 
     def _tick(self, now: float) -> None:
         if self._reload_signalled or now >= self._next_settings_check_at:
