Keep a feed going when one record cannot be applied

Callers: should any step after the decoder fail for one record, the process would read this record again at each call and learn of no later replica, key or version.

Cause: the exception left the callback of the call before the offset had passed the record; circuits drops it.

Change: each record is applied by itself; a failure is logged as `fault` with its trace and the next one follows.

--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -7,6 +7,7 @@
 import signal
 import traceback
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, TypeVar
@@ -163,7 +164,7 @@
             log or self.store,
             settings,
             self.clock.now,
-            on_record,
+            partial(self._apply_record, on_record),
             on_snapshot,
             on_state,
             self.rng,
@@ -198,6 +199,13 @@
         self._invalid_reasons[key] = reason
         self.telemetry.event("record.invalid", key=key, reason=reason, detail=detail)
 
+    def _apply_record(self, on_record: Callable[[KeyedRecord], None], record: KeyedRecord) -> None:
+        """Applies a record; one that cannot be applied must not keep the feed from the next ones."""
+        try:
+            on_record(record)
+        except Exception as exc:
+            self._log_exception(exc)
+
     def _tick(self, now: float) -> None:
         if self._reload_signalled or now >= self._next_settings_check_at:
             self._next_settings_check_at = now + SETTINGS_CHECK_INTERVAL_S
--- a/tests/platform/test_invalid_records.py
+++ b/tests/platform/test_invalid_records.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from fescuechute.feeds import KeyedRecord
+from fescuechute.feeds import KeyedRecord, RecordBatch
+from fescuechute.stager import StagerDaemon
 from tests.platform.test_stager_records import stager  # noqa: F401 - a fixture
 
 
@@ -50,3 +51,22 @@
     for offset in range(5000):
         stager._on_registration(KeyedRecord(offset, f"i-{offset}", b"{"))
     assert len(events) <= 1024
+
+
+def test_record_that_cannot_be_applied_does_not_stop_the_feed(
+    stager,  # noqa: F811
+    events,
+    monkeypatch,
+):
+    """Guards against a feed that reads the same record again and again."""
+    apply = StagerDaemon._update_ring
+    monkeypatch.setattr(
+        stager, "_update_ring", lambda: 1 / 0 if len(stager._registrations) == 2 else apply(stager)
+    )
+    feed = stager.registry_feed
+    feed._next_offset = 0
+    records = tuple(KeyedRecord(n, f"i-{n}", entry()) for n in range(3))
+    feed._on_outcome(RecordBatch(records, 3))
+    assert feed.next_offset == 3
+    assert set(stager._registrations) == {"i-0", "i-1", "i-2"}
+    assert [(name, fields["reason"]) for name, fields in events] == [("fault", "ZeroDivisionError")]
