Answer what still runs shortly before the end of a stop

Callers: a request that ran longer than 6.8 s into the 8 s of a planned stop was cut with no answer, whether it may be repeated or not, and so was one whose body had not arrived; the client could not tell it from a lost one.

Cause: at 85% of the grace the process closed all connections, with requests in flight and with answers that were still buffered.

--- a/fescuechute/forwarding/_server.py
+++ b/fescuechute/forwarding/_server.py
@@ -138,6 +138,18 @@
             if not conn.is_active:
                 conn.finish()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are not closed yet, also if only the end of an answer is left."""
+        return len(self._connections)
+
+    def reject_incomplete(self, detail: str) -> None:
+        """Responds with 503 to the requests of which only a part has arrived."""
+        for conn in list(self._clients):
+            if conn.is_receiving:
+                self.count("callers.incomplete")
+                conn.reject(503, detail)
+
     def tick(self, now: float) -> None:
         """Closes connections that exceeded their idle, head or body timeout."""
         for conn in list(self._clients):
@@ -176,6 +188,11 @@
         """Whether a request is being received or handled."""
         return self._response is not None or self._receiving
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._receiving and self._response is None
+
     def check_deadline(self, now: float) -> None:
         """Closes the connection if its deadline has passed while no response is pending."""
         if self._response is not None or now < self._deadline:
@@ -184,10 +201,10 @@
             self.finish()
         elif self._request is None:
             self._server.count("callers.head_timeout")
-            self._reject(408, "The head of the request was not complete in time.")
+            self.reject(408, "The head of the request was not complete in time.")
         else:
             self._server.count("callers.body_timeout")
-            self._reject(408, "The body of the request was not complete in time.")
+            self.reject(408, "The body of the request was not complete in time.")
 
     # Output.
 
@@ -290,7 +307,7 @@
                 self._handle_event(event)
         except h11.RemoteProtocolError as exc:
             self._server.count("callers.malformed")
-            self._reject(exc.error_status_hint or 400, str(exc))
+            self.reject(exc.error_status_hint or 400, str(exc))
 
     def _on_need_data(self) -> None:
         if self._protocol.they_are_waiting_for_100_continue:
@@ -323,7 +340,7 @@
     def _reject_body(self) -> None:
         self._server.count("callers.body_too_large")
         limit = self._server.limits.body_bytes
-        self._reject(413, f"The body exceeds {limit} bytes; send a smaller one.")
+        self.reject(413, f"The body exceeds {limit} bytes; send a smaller one.")
 
     def _pass_to_handler(self) -> None:
         request = self._request
@@ -342,7 +359,7 @@
             )
         )
 
-    def _reject(self, status: int, detail: str) -> None:
+    def reject(self, status: int, detail: str) -> None:
         """Responds with an error to an unacceptable request and closes the connection."""
         self._rejected = True
         body = detail.encode()
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -51,8 +51,10 @@
 RESPONSE_MEMORY_SHARE = 0.125
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
-#: Share of the grace period before the kill in which requests in flight may finish.
+#: Shares of the grace period before the kill after which the requests in flight are ended, and the
+#: process closes. The time between them is for their answers to be written.
 GRACE_SHARE = 0.85
+CLOSE_SHARE = 0.95
 
 
 class GatewayDaemon(Process):
@@ -128,6 +130,7 @@
         #: Whether any replica was ever known; the registry may be read before replicas are in it.
         self._has_known_replicas = False
         self._accept_until = float("inf")
+        self._finish_deadline = float("inf")
         self._close_deadline = float("inf")
         self._was_ready = False
         #: Whether this gateway reads from the store, and the number of relays known in its region.
@@ -182,7 +185,9 @@
     def on_stop(self, now: float) -> None:
         """Starts to drain; new connections are accepted until the load balancer has noticed."""
         self._accept_until = now + DRAIN_ACCEPT_S
-        self._close_deadline = now + self.settings.service_levels.grace_s * GRACE_SHARE
+        grace_s = self.settings.service_levels.grace_s
+        self._finish_deadline = now + grace_s * GRACE_SHARE
+        self._close_deadline = now + grace_s * CLOSE_SHARE
         self.callers.draining = True
         self.operator_log.relaying = self.registry_log.relaying = False
         self.relay_router.close()
@@ -249,13 +254,19 @@
         return self.load_listener.gateway_count(self.clock.now())
 
     def _drain(self, now: float) -> None:
-        if now < self._accept_until and now < self._close_deadline:
+        if now < self._accept_until and now < self._finish_deadline:
             return
         self.callers.stop_listening()
         # A request that arrives on a keep-alive connection from now on might not finish in the
         # grace period.
         self.callers.close_idle()
-        if self.callers.active_connections == 0:
+        if now >= self._finish_deadline:
+            if self.dispatcher.active_transfers:
+                cut = self.dispatcher.active_transfers
+                self.telemetry.event("drain.cut", requests=cut)
+            self.dispatcher.stop()
+            self.callers.reject_incomplete("The gateway stops; send the request again.")
+        if self.callers.open_connections == 0:
             self.close("drained")
         elif now >= self._close_deadline:
             self.close("grace is over")
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -79,6 +79,11 @@
         for transfer in list(self._transfers):
             transfer.tick(now)
 
+    def stop(self) -> None:
+        """Ends all active transfers because the process stops."""
+        for transfer in list(self._transfers):
+            transfer.stop()
+
     # The interface `Dispatch` of a transfer.
 
     def choose(self, requirements: Requirements) -> Choice | None:
@@ -171,7 +176,7 @@
         if kind in ("not_connected", "misdirected"):
             row.record_unreachable(now)
             self._upstream_client.close_idle(row.instance)
-        elif kind not in ("client gone", "timeout", "refused", "version"):
+        elif kind not in ("client gone", "timeout", "refused", "version", "stopping"):
             row.record_failure()
         self._telemetry.event(
             "attempt.failed",
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -144,6 +144,11 @@
         """Sends the first attempt, or refuses the request if no replica is eligible."""
         self._send("")
 
+    def stop(self) -> None:
+        """Ends the request because the process stops, with an answer or a visibly cut stream."""
+        self._cancel_attempt("stopping")
+        self._fail(504, Reason.DRAINING)
+
     def tick(self, now: float) -> None:
         """Enforces the deadline; moves attempts that do not start and resumes stalled streams."""
         if not self.request.response.is_open:
