Refuse requests that cannot finish before a stop

Callers: in the 3 s after SIGTERM in which a gateway still takes requests, one that usually takes longer than the rest of the grace was passed on and ended unknown, also one that may not be repeated.

Cause: only the time of the arrival decided, not what the request needs.

Evidence: test_unrepeatable_request_that_cannot_finish_is_refused_at_once failed on the code before (passed on, 200 in place of 503); with a slower replica the same request ended with no answer.

Requests that can finish are taken as before; the tests of tests/platform/test_planned_stop.py pass.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescuechute.catalog import Configuration, VersionDeclaration
+from fescuechute.catalog import Configuration, RequestMeta, Route, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
@@ -47,6 +47,8 @@
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
 #: checks readiness once a second and removes a process after two failed checks.
 DRAIN_ACCEPT_S = 3.0
+#: Target latencies of its route within which a request that may not be repeated is expected to end.
+UNREPEATABLE_TARGETS = 4
 #: Share of the memory of the process that incomplete responses may take.
 RESPONSE_MEMORY_SHARE = 0.125
 #: Memory of the process in bytes if the settings name none.
@@ -286,6 +288,9 @@
         if isinstance(decision, Denied):
             self._deny(request, meta.request_id, decision, now)
             return
+        if self.stopping and not self._can_finish(decision.route, meta, now):
+            self._deny(request, meta.request_id, Denied(Reason.DRAINING, "stopping"), now)
+            return
         table = self.access.table
         service = table.service(decision.service) if table is not None else None
         if service is None:
@@ -293,6 +298,18 @@
             return
         self.dispatcher.start(Transfer(request, meta, decision, service, self.dispatcher))
 
+    def _can_finish(self, route: Route, meta: RequestMeta, now: float) -> bool:
+        """Returns whether a request can be expected to end before those in flight are ended.
+
+        Another gateway can run what is refused here. One that may not be repeated needs a margin,
+        since its client cannot send it again once it was cut.
+        """
+        timeout_s = route.timeout_s
+        if meta.client_timeout_s is not None:
+            timeout_s = min(timeout_s, meta.client_timeout_s)
+        targets = 1 if route.retryable else UNREPEATABLE_TARGETS
+        return now + min(timeout_s, targets * route.target_latency_s) <= self._finish_deadline
+
     def _deny(self, request: ClientRequest, request_id: str, denied: Denied, now: float) -> None:
         status = refusal(denied.reason).status
         confirmed_at = self.operator_feed.confirmed_at
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -88,6 +88,21 @@
     assert b"token 1" in caught.value.partial
 
 
+def test_unrepeatable_request_that_cannot_finish_is_refused_at_once(deployment):
+    """Guards against a run whose outcome its client never learns."""
+    configure(deployment, timeout_ms=20000, target_latency_ms=1500)
+    stopped_at = terminate(deployment)
+    time.sleep(2.0)
+    assert send(deployment, "/a/x")[0] == 200, "one that may be repeated has no margin"
+    sent_at = time.monotonic()
+    status, headers, _ = send(deployment, "/once/x")
+    assert time.monotonic() - sent_at < 0.5
+    assert (status, headers["Connection"]) == (503, "close")
+    assert float(headers["Retry-After"]) > 0
+    assert len(deployment.executed_requests()) == 1
+    assert time.monotonic() - stopped_at < 3.0
+
+
 def test_requests_that_can_finish_are_taken_while_the_balancer_sends_them(deployment):
     """Guards against refusals in the seconds in which the load balancer does not know of the stop."""
     delay_replicas(deployment, delay_s=0.5)
