Let a client that reads slowly take the whole of a last answer

Callers: an answer with Connection: close, as all are during a planned stop, was cut one second after it was complete at the gateway if its client had not yet read it; the client saw fewer bytes than announced.

Cause: the linger time of a finished connection counted from finish(), not from the last sent byte.

Evidence: tests/net/test_slow_readers.py received 3,904,956 of 16,777,216 bytes on the code before. With progress counted by the write buffer alone it failed with the same figure, since the kernel holds the last 4 MB.

Change: the linger time starts again while the peer acknowledges data, for 10 s at most; a peer that reads nothing is closed after one second as before. The test passes, as do the caller floods.

--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -7,7 +7,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket
+import struct
+import termios
 import time
 from collections import deque
 from collections.abc import Callable
@@ -22,8 +25,11 @@
 _MAX_READ_BYTES = 256 * 1024
 #: Reads per readable event, so that one busy peer cannot starve the others.
 _READS_PER_EVENT = 4
-#: Seconds that a finished connection waits for the peer to close before it is closed forcibly.
+#: Seconds that a finished connection waits for the peer to close, or to read more of the buffered
+#: data, before it is closed forcibly.
 _LINGER_S = 1.0
+#: Longest time in seconds in which a peer that reads slowly may take the buffered data.
+_MAX_FLUSH_S = 10.0
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, and the number of
 #: unanswered probes that ends the connection. Together they detect a dead connection within 3 s, as
 #: required.
@@ -33,6 +39,7 @@
 #: Milliseconds that sent data may stay unacknowledged; the same 3 s limit as for keep-alive.
 _TCP_USER_TIMEOUT_MS = 3000
 _MAX_PORT = 65_535
+_INT = struct.Struct("i")
 
 
 class Connection:
@@ -47,6 +54,10 @@
         self._connecting = connecting
         self._write_queue: deque[memoryview] = deque()
         self._finishing = False
+        #: Monotonic time until which a finished connection may send buffered data.
+        self._flush_deadline = 0.0
+        #: Bytes that the peer had not acknowledged when a finished connection was last checked.
+        self._last_pending = 0
         self._reading = True
         #: Bytes passed to `write` that the kernel has not accepted yet.
         self.buffered = 0
@@ -90,17 +101,38 @@
 
         Incoming data is read and discarded until the peer closes or the linger time ends: closing a
         socket with unread data resets the connection, and the peer could lose the end of the
-        stream.
+        stream. The linger time starts again while the peer takes buffered data.
         """
         if self._sock is None or self._finishing:
             return
         self._finishing = True
+        self._flush_deadline = time.monotonic() + _MAX_FLUSH_S
+        self._last_pending = self._pending()
         self.set_reading(True)
         self.on_data = self.on_closed = _no_op
         self._owner.close_later(self, _LINGER_S)
         if not self._write_queue:
             self._shut_down_writes()
 
+    def end_linger(self) -> None:
+        """Closes a finished connection, unless the peer has taken more of the buffered data."""
+        if self._sock is None:
+            return
+        pending = self._pending()
+        progressed = pending < self._last_pending
+        self._last_pending = pending
+        if pending and progressed and time.monotonic() < self._flush_deadline:
+            self._owner.close_later(self, _LINGER_S)
+        else:
+            self.close()
+
+    def _pending(self) -> int:
+        """Returns the bytes that the peer has not acknowledged, those in the kernel included."""
+        if self._sock is None:
+            return 0
+        queued = fcntl.ioctl(self._sock, termios.TIOCOUTQ, bytes(_INT.size))
+        return self.buffered + int(_INT.unpack(queued)[0])
+
     def _shut_down_writes(self) -> None:
         assert self._sock is not None
         try:
@@ -280,7 +312,7 @@
         for conn, reason in failed:
             conn.fail(reason)
         while self._deferred_closes and self._deferred_closes[0][0] <= time.monotonic():
-            self._deferred_closes.popleft()[1].close()
+            self._deferred_closes.popleft()[1].end_linger()
 
     def close_later(self, conn: Connection, delay_s: float) -> None:
         """Defers closing a connection to the first `run_deferred` after a delay."""
