Ignore event ids with too many digits

Callers: a stream with an event whose id has more than 4,300 digits got no further byte until its deadline.

Cause: int() raises ValueError, which the reading of a replica's response does not expect; smaller ids over 64 bits were taken as they stand.

Evidence: test_event_whose_id_has_too_many_digits_has_no_id failed for 19, 400 and 5,000 digits on the code before; it passes now. An id of up to 18 digits is read as before.

--- a/fescuechute/forwarding/_events.py
+++ b/fescuechute/forwarding/_events.py
@@ -9,7 +9,7 @@
 from fescuechute.errors import ResponseTooLargeError
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-_ID_FIELD = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
+_ID_FIELD = re.compile(rb"^id:[ ]?(\d{1,18})\r?$", re.MULTILINE)
 #: Length of the longest separator of two events.
 _MAX_SEPARATOR_BYTES = 4
 #: Limit on one event; events hold a few tokens.
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -1,5 +1,6 @@
 """Splitting of event streams that arrive in arbitrary chunks."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -29,3 +30,10 @@
     assert [event.data for event in split] == events
     assert [event.id for event in split] == list(range(len(events)))
     assert splitter.remainder == b""
+
+
+@pytest.mark.parametrize("digits", [19, 400, 5000])
+def test_event_whose_id_has_too_many_digits_has_no_id(digits):
+    """Guards against a stream that hangs because of a number that a replica sends."""
+    (event,) = EventSplitter().feed(b"id: " + b"9" * digits + b"\ndata: x\n\n")
+    assert event.id is None
