Refuse messages with infinite numbers or NaN

Callers: a load with an infinite pace would end the dispatch of each request that considers this replica, since its expected time is rounded for the log (OverflowError), and NaN makes comparisons of deadlines false.

Cause: the check of a message field accepted every float.

--- a/fescuechute/wire/_checks.py
+++ b/fescuechute/wire/_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, get_args, get_origin
 
@@ -25,7 +26,7 @@
     if get_origin(annotation) is dict:
         return lambda value: isinstance(value, dict)
     if annotation is float:
-        return lambda value: isinstance(value, float | int) and not isinstance(value, bool)
+        return _is_finite_number
     if annotation is int:
         return lambda value: isinstance(value, int) and not isinstance(value, bool)
     if annotation in (str, bytes, bool):
@@ -33,6 +34,11 @@
     raise TypeError(f"A message field cannot have the type {annotation!r}.")
 
 
+def _is_finite_number(value: object) -> bool:
+    # Infinity and NaN fail in arithmetic on integers, long after the message was received.
+    return isinstance(value, float | int) and not isinstance(value, bool) and math.isfinite(value)
+
+
 def _tuple_check(items: tuple[Any, ...]) -> Check:
     if len(items) == 2 and items[1] is Ellipsis:
         check = make_check(items[0])
