--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescuechute.catalog import Configuration, VersionDeclaration
+from fescuechute.catalog import Configuration, RequestMeta, Route, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
@@ -49,12 +49,16 @@
 #: Seconds after a stop request for which new connections are still accepted. The load balancer
 #: checks readiness once a second and removes a process after two failed checks.
 DRAIN_ACCEPT_S = 3.0
+#: Target latencies of its route within which a request that may not be repeated is expected to end.
+UNREPEATABLE_TARGETS = 4
 #: Share of the memory of the process that incomplete responses may take.
 RESPONSE_MEMORY_SHARE = 0.125
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
-#: Share of the grace period before the kill in which requests in flight may finish.
+#: Shares of the grace period before the kill after which the requests in flight are ended, and the
+#: process closes. The time between them is for their answers to be written.
 GRACE_SHARE = 0.85
+CLOSE_SHARE = 0.95
 
 
 class GatewayDaemon(Process):
@@ -132,6 +136,7 @@
         #: Whether any replica was ever known; the registry may be read before replicas are in it.
         self._has_known_replicas = False
         self._accept_until = float("inf")
+        self._finish_deadline = float("inf")
         self._close_deadline = float("inf")
         self._was_ready = False
         #: Whether this gateway reads from the store, and the number of relays known in its region.
@@ -186,7 +191,9 @@
     def on_stop(self, now: float) -> None:
         """Starts to drain; new connections are accepted until the load balancer has noticed."""
         self._accept_until = now + DRAIN_ACCEPT_S
-        self._close_deadline = now + self.settings.service_levels.grace_s * GRACE_SHARE
+        grace_s = self.settings.service_levels.grace_s
+        self._finish_deadline = now + grace_s * GRACE_SHARE
+        self._close_deadline = now + grace_s * CLOSE_SHARE
         self.callers.draining = True
         self.operator_log.relaying = self.registry_log.relaying = False
         self.relay_router.close()
@@ -253,13 +260,19 @@
         return self.load_listener.gateway_count(self.clock.now())
 
     def _drain(self, now: float) -> None:
-        if now < self._accept_until and now < self._close_deadline:
+        if now < self._accept_until and now < self._finish_deadline:
             return
         self.callers.stop_listening()
         # A request that arrives on a keep-alive connection from now on might not finish in the
         # grace period.
         self.callers.close_idle()
-        if self.callers.active_connections == 0:
+        if now >= self._finish_deadline:
+            if self.dispatcher.active_transfers:
+                cut = self.dispatcher.active_transfers
+                self.telemetry.event("drain.cut", requests=cut)
+            self.dispatcher.stop()
+            self.callers.reject_incomplete("The gateway stops; send the request again.")
+        if self.callers.open_connections == 0:
             self.close("drained")
         elif now >= self._close_deadline:
             self.close("grace is over")
@@ -279,6 +292,9 @@
         if isinstance(decision, Denied):
             self._deny(request, meta.request_id, decision, now)
             return
+        if self.stopping and not self._can_finish(decision.route, meta, now):
+            self._deny(request, meta.request_id, Denied(Reason.DRAINING, "stopping"), now)
+            return
         table = self.access.table
         service = table.service(decision.service) if table is not None else None
         if service is None:
@@ -286,6 +302,18 @@
             return
         self.dispatcher.start(Transfer(request, meta, decision, service, self.dispatcher))
 
+    def _can_finish(self, route: Route, meta: RequestMeta, now: float) -> bool:
+        """Returns whether a request can be expected to end before those in flight are ended.
+
+        Another gateway can run what is refused here. One that may not be repeated needs a margin,
+        since its client cannot send it again once it was cut.
+        """
+        timeout_s = route.timeout_s
+        if meta.client_timeout_s is not None:
+            timeout_s = min(timeout_s, meta.client_timeout_s)
+        targets = 1 if route.retryable else UNREPEATABLE_TARGETS
+        return now + min(timeout_s, targets * route.target_latency_s) <= self._finish_deadline
+
     def _deny(self, request: ClientRequest, request_id: str, denied: Denied, now: float) -> None:
         status = refusal(denied.reason).status
         confirmed_at = self.operator_feed.confirmed_at
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Iterable, Sequence
 
@@ -14,12 +15,14 @@
 _COMPRESSION_LEVEL = 1
 #: Limit on the records of one batch in bytes, which bounds the memory that a peer can make a reader use.
 MAX_BATCH_BYTES = 16 << 20
+#: Handling of bytes of a key that are not UTF-8, as in the records of the store.
+_KEY_ERRORS = "surrogateescape"
 
 
 def encode_records(records: Iterable[KeyedRecord]) -> bytes:
     """Returns the compressed records."""
     rows = [(record.offset, record.key, record.value) for record in records]
-    return zlib.compress(msgpack.packb(rows), _COMPRESSION_LEVEL)
+    return zlib.compress(msgpack.packb(rows, unicode_errors=_KEY_ERRORS), _COMPRESSION_LEVEL)
 
 
 def encode_batch(
@@ -56,23 +59,49 @@
             msgpack.unpackb(data)
         )
         inflater = zlib.decompressobj()
-        rows = msgpack.unpackb(inflater.decompress(compressed, MAX_BATCH_BYTES))
+        rows = msgpack.unpackb(
+            inflater.decompress(compressed, MAX_BATCH_BYTES), unicode_errors=_KEY_ERRORS
+        )
         if not inflater.eof:
             raise ValueError(f"its records are incomplete or exceed {MAX_BATCH_BYTES} bytes")
+        if not isinstance(rows, list) or not isinstance(dates, list):
+            raise TypeError("its records or their dates are no list")
         if len(dates) not in (0, len(rows)):
             raise ValueError(f"it dates {len(dates)} of {len(rows)} records")
         return RecordBatch(
-            tuple(KeyedRecord(int(offset), str(key), value) for offset, key, value in rows),
-            int(end),
+            tuple(_record(*row) for row in rows),
+            _offset(end),
             Delivery(source, len(data), transfer_s),
-            float(confirmed_after_s),
-            None if appended_after_s is None else float(appended_after_s),
-            failed_after_s=None if failed_after_s is None else float(failed_after_s),
+            _seconds(confirmed_after_s),
+            _optional_seconds(appended_after_s),
+            failed_after_s=_optional_seconds(failed_after_s),
             compacted=True,
-            record_appended_after_s=tuple(None if date is None else float(date) for date in dates),
+            record_appended_after_s=tuple(_optional_seconds(date) for date in dates),
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
-            f"The response of the relay {source} is no batch: {exc}.",
+            f"The response of the relay {source} is no batch: {exc!s:.200}.",
             "Run the same release on both ends.",
         ) from exc
+
+
+def _record(offset: object, key: object, value: object) -> KeyedRecord:
+    if not isinstance(key, str) or not isinstance(value, bytes | None):
+        raise TypeError("a record has a key or a value of another type")
+    return KeyedRecord(_offset(offset), key, value)
+
+
+def _offset(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError(f"{value!r:.80} is no offset")
+    return value
+
+
+def _seconds(value: object) -> float:
+    if not isinstance(value, int | float) or not math.isfinite(value):
+        raise TypeError(f"{value!r:.80} is no number of seconds")
+    return float(value)
+
+
+def _optional_seconds(value: object) -> float | None:
+    return None if value is None else _seconds(value)
