End streams that cannot be resumed and wait for an expiring version

A stream on a route without resume that still waited at its engine when the bound of a new version came was left there and could begin on old weights (VERSION): only requests that may be retried were cancelled at that time.

Such a stream is now cancelled like the others and answered with 502, as it must not run twice. Requests whose response is not a stream and which must not be retried stay as before: their head comes at the end, so a running one cannot be told from a waiting one.

The new test fails on the code before with 'assert harness.calls[0].cancelled' (False) and passes with it.

--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -171,7 +171,10 @@
         attempt = self._attempt
         if attempt is None or attempt.status:
             return
-        if self.retryable and now >= self._dispatch.cancel_unstarted_at(self, attempt):
+        # The head of any other response that must not be retried comes at its end, so whether the
+        # request has started is unknown.
+        cancellable = self.retryable or self.streaming
+        if cancellable and now >= self._dispatch.cancel_unstarted_at(self, attempt):
             self._cancel_attempt("version")
             self._retry_or_fail("version")
             return
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -297,6 +297,19 @@
     assert harness.client.body == event(1)
 
 
+def test_unstarted_stream_that_cannot_be_resumed_ends_before_its_version_expires():
+    """Guards against a request that waits at an engine, starts on old weights, or runs twice."""
+    harness = TransferHarness(RetryPolicy.STREAM, resumable=False)
+    harness.cancel_at = harness.time + 0.5
+    harness.advance(0.4)
+    assert not harness.calls[0].cancelled
+    harness.advance(0.2)
+    assert harness.calls[0].cancelled
+    assert len(harness.calls) == 1
+    assert harness.client.status == 502
+    assert harness.results == [(502, "upstream_lost", "unknown")]
+
+
 def test_started_stream_continues_when_its_version_expires():
     """Guards against aborted responses: a started stream may finish on its version."""
     harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
