Apply a changed version_ms to the declarations that a gateway knows

A gateway that read its settings again, after SIGHUP or a change of the file, kept the version_ms of its start for all declarations. With a shorter one it went on sending to old weights after the new bound (VERSION), with a longer one it refused requests too early; the relay, the drain and revoke_s already follow the file.

Declarations keep their dates and the table computes the bounds, so that a change holds for declarations from before it as well.

The new test (four cases: 4 s and 12 s, changed before and after the declaration) failed in all four cases on the code before and passes with it.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -199,8 +199,10 @@
         self.relay_router.close()
 
     def on_settings(self) -> None:
-        """Applies a changed `revoke_s`."""
-        self.access.max_configuration_age_s = self.settings.service_levels.revoke_s
+        """Applies a changed `revoke_s` and `version_switch_s`."""
+        service_levels = self.settings.service_levels
+        self.access.max_configuration_age_s = service_levels.revoke_s
+        self.versions.bound_s = service_levels.version_switch_s
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
         """Records the relays of the region; passes other datagrams to the load listener."""
--- a/fescuechute/gateway/_versions.py
+++ b/fescuechute/gateway/_versions.py
@@ -22,8 +22,6 @@
     version: int
     #: Unix seconds before which it was not declared, minus infinity if unknown.
     earliest_declared_at: float
-    #: Unix seconds from which no request is sent to an older version.
-    binding_at: float
 
 
 class VersionTable:
@@ -34,7 +32,8 @@
     """
 
     def __init__(self, bound_s: float):
-        self._bound_s = bound_s
+        #: May change at any time; it holds for all declarations.
+        self.bound_s = bound_s
         self._declarations: dict[str, list[Declaration]] = {}
 
     def declare(
@@ -63,28 +62,32 @@
         newest = max(declarations, key=lambda item: item.version, default=None)
         if newest is not None and newest.version >= version:
             return ()
-        added = [self._declaration(version, earliest_declared_at)]
+        added = [Declaration(version, earliest_declared_at)]
         known = _FIRST_VERSION if newest is None else newest.version
         if earliest_omitted_at < float("inf") and known < version - 1:
             # Versions are declared in ascending order.
             if newest is not None:
                 earliest_omitted_at = max(earliest_omitted_at, newest.earliest_declared_at)
-            added.insert(0, self._declaration(version - 1, earliest_omitted_at))
+            added.insert(0, Declaration(version - 1, earliest_omitted_at))
         declarations.extend(added)
         return tuple(added)
 
     def cancel_unstarted_at(self, model: str, version: int) -> float:
         """Returns the unix seconds at which requests not started on a version are cancelled."""
         binding_times = [
-            item.binding_at for item in self._declarations.get(model, ()) if item.version > version
+            self._binding_at(item)
+            for item in self._declarations.get(model, ())
+            if item.version > version
         ]
         return min(binding_times, default=float("inf")) + CANCEL_DELAY_S
 
     def required_version(self, model: str, now: float) -> int:
         """Returns the oldest version that new requests may be sent to, 0 for any."""
         declarations = self._declarations.get(model, ())
-        return max((item.version for item in declarations if now >= item.binding_at), default=0)
+        return max(
+            (item.version for item in declarations if now >= self._binding_at(item)), default=0
+        )
 
-    def _declaration(self, version: int, earliest_declared_at: float) -> Declaration:
-        binding_at = earliest_declared_at + self._bound_s - BINDING_MARGIN_S
-        return Declaration(version, earliest_declared_at, binding_at)
+    def _binding_at(self, declaration: Declaration) -> float:
+        """Returns the unix seconds from which no request is sent to an older version."""
+        return declaration.earliest_declared_at + self.bound_s - BINDING_MARGIN_S
--- a/tests/platform/test_gateway_records.py
+++ b/tests/platform/test_gateway_records.py
@@ -41,9 +41,9 @@
             "bounds": {"version_ms": VERSION_S * 1000},
             "platform": {"address": "127.0.0.1:2"},
         }
-        path = directory / "node.json"
-        path.write_text(json.dumps(settings))
-        self.daemon = GatewayDaemon(str(path))
+        self._path, self._settings = directory / "node.json", settings
+        self._path.write_text(json.dumps(settings))
+        self.daemon = GatewayDaemon(str(self._path))
         self.log = ScriptedLog()
         self.daemon.operator_feed._log = self.log
         self.daemon.relay_server.start(self.daemon.operator_feed)
@@ -56,6 +56,12 @@
             self.daemon.operator_feed._next_call_at = 0.0
             self.daemon.operator_feed.tick(self.daemon.clock.now())
 
+    def change_version_bound(self, seconds):
+        """Changes the bound in the settings file and lets the gateway read it."""
+        settings = {**self._settings, "bounds": {"version_ms": seconds * 1000}}
+        self._path.write_text(json.dumps(settings))
+        self.daemon._reload()
+
     def required_version(self, after_s=0.0):
         """Returns the oldest allowed version at a time after the start of the gateway."""
         return self.daemon.versions.required_version("m", self.started_at + after_s)
@@ -101,6 +107,19 @@
     assert gateway.required_version(after_s=VERSION_S + 6.1) == 3
 
 
+@pytest.mark.parametrize("bound_s", [4.0, 12.0])
+@pytest.mark.parametrize("declared_first", [True, False])
+def test_changed_bound_holds_for_declarations(gateway, bound_s, declared_first):
+    """Guards against requests on old weights, or refusals, by a bound that is no longer in force."""
+    gateway.receive(SnapshotPage((), False, 5, RELAY))
+    batch = RecordBatch((declaration(5, 2),), 6, RELAY, appended_after_s=0.0)
+    steps = [lambda: gateway.receive(batch), lambda: gateway.change_version_bound(bound_s)]
+    for step in steps if declared_first else reversed(steps):
+        step()
+    assert gateway.required_version(after_s=bound_s - 1.0) == 0
+    assert gateway.required_version(after_s=bound_s + 0.1) == 2
+
+
 def test_version_that_was_not_declared_does_not_bind(gateway):
     """Guards against refusals because of a version number that the operators left out."""
     gateway.receive(
