End a request once when its version and its deadline have both passed

After a suspension, or on a busy machine, the bound of a version and the deadline of a waiting request can pass between two ticks. The tick then cancelled the attempt and failed the request with 502, as no time was left for a retry, and failed it again with 504: the caller got the first answer, while the log had two lines for the request and its latency was counted twice.

The deadline is checked first, so the caller gets the 504 that names the reason.

The new test failed on the code before, with the assertion of the harness that a response is sent once, and passes with it.

--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -153,11 +153,12 @@
         """Enforces the deadline; moves attempts that do not start and resumes stalled streams."""
         if not self.request.response.is_open:
             return
-        self._check_start(now)
         if now >= self.deadline:
             self._cancel_attempt("timeout")
             self._fail(504, Reason.DEADLINE_PASSED)
-        elif now >= self._stalls_at and self._attempt is not None:
+            return
+        self._check_start(now)
+        if now >= self._stalls_at and self._attempt is not None:
             # Without a free replica the silent one is the best chance; it may only be slow.
             if self._dispatch.choose(self.requirements()) is None:
                 self._stalls_at = now + STALL_RECHECK_S
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -310,6 +310,15 @@
     assert harness.results == [(502, "upstream_lost", "unknown")]
 
 
+def test_request_ends_once_when_its_version_and_its_deadline_have_passed():
+    """Guards against two outcomes of a request in the log after the process was suspended."""
+    harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
+    harness.cancel_at = harness.time + 0.5
+    harness.advance(10.0)
+    assert harness.calls[0].cancelled
+    assert harness.results == [(504, "deadline_passed", "unknown")]
+
+
 def test_started_stream_continues_when_its_version_expires():
     """Guards against aborted responses: a started stream may finish on its version."""
     harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
