Quarantine contents of requests that crash replicas, at all gateways

Cause: nothing connected the crashes. Each request with the part, and each of its retries and resumed streams, went to a replica that was still up.

Change: a gateway notes the shared parts of the prompt, and path, caller and body as one content, of attempts that end with their connection before or within 1 s after their first event. If the replica then refuses connections, these are suspects of its crash, less what was answered completely in the last 5 s. A suspect in three crashes that explains most of them is refused as not run; attempts with it that have not begun are cancelled. Reports of crashes and of answers go through the four stagers that count the gateways, which also inform gateways that start.

--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -23,6 +23,8 @@
     max_tokens: int
     #: Estimate by the client of the number of output tokens, 0 if not stated.
     expected_tokens: int
+    #: Ids of the parts of the prompt that it shares with other requests, in order.
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -13,7 +13,7 @@
 from fescuechute.checks import Address
 from fescuechute.errors import ResponseTooLargeError
 from fescuechute.forwarding._headers import Headers, keep_alive_timeout_s
-from fescuechute.net import PEER_CLOSED, Clock, Connection, SocketOwner
+from fescuechute.net import PEER_CLOSED, Clock, Connection, SocketOwner, is_connection_refused
 
 #: Seconds for which an idle connection is kept when the upstream sends no `Keep-Alive` timeout.
 _DEFAULT_KEEP_ALIVE_S = 4.0
@@ -184,6 +184,21 @@
             conn.on_connected = lambda: self._send(call)
         return call
 
+    def check_refused(self, address: Address, on_result: Callable[[bool], None]) -> None:
+        """Connects once and calls back with whether the connection was refused.
+
+        A refused connection means that no process listens at the address; a timeout does not.
+        """
+        conn = self.open_connection(address.ip, address.port)
+        self.connections_opened += 1
+
+        def on_connected() -> None:
+            conn.close()
+            on_result(False)
+
+        conn.on_connected = on_connected
+        conn.on_closed = lambda reason: on_result(is_connection_refused(reason))
+
     def cancel(self, call: UpstreamCall) -> None:
         """Cancels a call without notifying its listener and closes its connection."""
         if not call.done:
--- a/fescuechute/gateway/__init__.py
+++ b/fescuechute/gateway/__init__.py
@@ -5,6 +5,7 @@
 
 from fescuechute.gateway._access import AccessControl, Allowed, Denied
 from fescuechute.gateway._choice import Choice, Chooser, Requirements, Shortage
+from fescuechute.gateway._crash_monitor import CrashMonitor
 from fescuechute.gateway._daemon import GatewayDaemon
 from fescuechute.gateway._dispatch import Dispatcher
 from fescuechute.gateway._latency_model import (
@@ -24,6 +25,7 @@
     "Allowed",
     "Choice",
     "Chooser",
+    "CrashMonitor",
     "Denied",
     "Dispatcher",
     "FirstEventModel",
--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -16,6 +16,9 @@
 from fescuechute.gateway._choice import Choice
 from fescuechute.platform import decode_response_meta
 
+#: Seconds from the first event within which a crash may be caused by the answer.
+BEGIN_S = 1.0
+
 
 class AttemptListener(Protocol):
     """Receives the events of an attempt."""
@@ -56,6 +59,8 @@
         self.identified = False
         #: Number of complete events received.
         self.event_count = 0
+        #: Unix seconds of the first event, or None.
+        self.first_event_at: float | None = None
         #: Whether the attempt was reported as slow to start responding.
         self.reported_slow = False
         #: Prompt tokens counted in `UpstreamRow.pending_prompt_tokens` until the response starts.
@@ -83,6 +88,21 @@
         """Whether the body ended in the middle of an event."""
         return bool(self._splitter.remainder.strip())
 
+    def began_recently(self, now: float) -> bool:
+        """Returns whether the replica began to write less than BEGIN_S ago, or has not begun."""
+        return self.first_event_at is None or now < self.first_event_at + BEGIN_S
+
+    def is_whole_answer(self, now: float) -> bool:
+        """Returns whether a response that has ended shows that the replica wrote a whole answer.
+
+        One that ends with its connection may also have been ended by a crash, if it was short.
+        """
+        if not 200 <= self.status < 300 or (self._streaming and not self.event_count):
+            return False
+        names = {name.lower() for name, _ in self.headers}
+        has_end = not names.isdisjoint((b"content-length", b"transfer-encoding"))
+        return has_end or not self.began_recently(now)
+
     def on_head(self, status: int, headers: Headers) -> None:
         """Stores the response head until it is decided whether to forward it."""
         self.status = status
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -14,6 +14,7 @@
 )
 from fescuechute.gateway._access import AccessControl, Denied
 from fescuechute.gateway._choice import Chooser
+from fescuechute.gateway._crash_monitor import CrashMonitor
 from fescuechute.gateway._dispatch import Dispatcher
 from fescuechute.gateway._loads import LoadListener
 from fescuechute.gateway._subset import SubsetSelector
@@ -29,7 +30,7 @@
 )
 from fescuechute.relay import RelayAddress, RelayAnnouncer, RelayRouter, RelayServer
 from fescuechute.runtime import REGISTRY_INTERVAL_S, Process
-from fescuechute.wire import Message, RelayOffer, Relays
+from fescuechute.wire import AnswerReport, CrashReport, Message, RelayOffer, Relays
 
 #: Seconds between ticks; the resolution of deadlines.
 TICK_S = 0.02
@@ -82,6 +83,15 @@
         chooser = Chooser(
             subsets, self.versions, cfg.data_centre, cfg.region, self._gateway_count, self.rng
         )
+        self.crashes = CrashMonitor(
+            self.upstream_client.check_refused,
+            lambda row: self.upstreams.get(row.instance) is row,
+            lambda: [(ip, cfg.peer_port) for ip in self.load_listener.counting_stagers],
+            self.datagrams.send,
+            now,
+            self.rng,
+            self.telemetry,
+        )
         self.dispatcher = Dispatcher(
             self.upstream_client,
             chooser,
@@ -93,6 +103,7 @@
             ResponseBuffers(
                 int(RESPONSE_MEMORY_SHARE * (cfg.max_memory_bytes or DEFAULT_MEMORY_BYTES))
             ),
+            self.crashes,
         )
         self.operator_log.relaying = True
         self.relay_server = RelayServer(Topic.OPERATORS, self.operator_log, now, count)
@@ -192,11 +203,13 @@
         self.access.max_configuration_age_s = self.settings.service_levels.revoke_s
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
-        """Records the relays of the region; passes other datagrams to the load listener."""
+        """Records the relays of the region; passes on reports of crashes and of loads."""
         now = self.clock.now()
         if isinstance(msg, Relays):
             for process_id, ip, port in msg.known:
                 self.relays.add(self.settings.region, RelayAddress(process_id, ip, port), now)
+        elif isinstance(msg, CrashReport | AnswerReport):
+            self.crashes.receive(msg)
         else:
             self.load_listener.receive(sender, msg, now)
 
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -16,6 +16,7 @@
 )
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Chooser, Requirements
+from fescuechute.gateway._crash_monitor import CrashMonitor
 from fescuechute.gateway._transfer import CONNECT_TIMEOUT_S, Transfer
 from fescuechute.routing import RetryBudget
 from fescuechute.settings import ServiceLevels
@@ -51,6 +52,7 @@
         now: Callable[[], float],
         rng: Random,
         response_buffers: ResponseBuffers,
+        crashes: CrashMonitor,
     ):
         self._upstream_client = upstream_client
         self._chooser = chooser
@@ -60,6 +62,7 @@
         self.now = now
         self.response_buffers = response_buffers
         self._rng = rng
+        self._crashes = crashes
         self._transfers: set[Transfer] = set()
         self._retry_budgets: dict[str, RetryBudget] = {}
 
@@ -78,9 +81,14 @@
         """Checks the deadlines of all active transfers."""
         for transfer in list(self._transfers):
             transfer.tick(now)
+        self._crashes.tick(now)
 
     # The interface `Dispatch` of a transfer.
 
+    def is_quarantined(self, transfer: Transfer) -> bool:
+        """Returns whether the request has a content that crashes replicas."""
+        return self._crashes.any_quarantined and bool(self._crashes.quarantined(transfer.contents))
+
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
         return self._chooser.choose(requirements, self.now())
@@ -166,12 +174,16 @@
         attempt.pending_prompt_tokens = 0
         if not outcome:
             row.record_success()
+            if attempt.is_whole_answer(now):
+                self._crashes.record_answer(transfer.contents)
             return
         kind = outcome.partition(":")[0]
+        if kind in ("broken", "incomplete event") and attempt.began_recently(now):
+            self._crashes.record_loss(row, transfer.contents)
         if kind in ("not_connected", "misdirected"):
             row.record_unreachable(now)
             self._upstream_client.close_idle(row.instance)
-        elif kind not in ("client gone", "timeout", "refused", "version"):
+        elif kind not in ("client gone", "timeout", "refused", "version", "quarantined"):
             row.record_failure()
         self._telemetry.event(
             "attempt.failed",
@@ -179,6 +191,8 @@
             upstream=row.instance,
             reason=kind,
             detail=outcome,
+            events=attempt.event_count,
+            parts=transfer.meta.shared_parts,
             ms=round((now - attempt.started_at) * 1000),
         )
 
@@ -214,6 +228,9 @@
             else round((first_event_at - received_at) * 1000),
             ms=round((now - received_at) * 1000),
             shortage=shortage,
+            quarantined=[content.hex() for content in self._crashes.quarantined(transfer.contents)]
+            if reason == Reason.QUARANTINED
+            else None,
         )
 
     def _retry_budget(self, service: str) -> RetryBudget:
--- a/fescuechute/gateway/_loads.py
+++ b/fescuechute/gateway/_loads.py
@@ -52,6 +52,8 @@
         self._send = send
         self._next_greet_at = 0.0
         self._next_far_greet_at = 0.0
+        #: IP addresses of the stagers that count all gateways.
+        self.counting_stagers: frozenset[str] = frozenset()
         #: Latest count of each counting stager and the unix seconds at which it expires, by address.
         self._counts: dict[str, tuple[int, float]] = {}
 
@@ -67,7 +69,9 @@
         self._counts = {ip: known for ip, known in self._counts.items() if known[1] > now}
         near = self._subsets.near_engine_ips()
         ips = {row.entry.address.ip for row in self._upstreams if row.entry.models}
-        counting = set(duty_holders("gateways", ips, COUNTING_STAGERS))
+        self.counting_stagers = counting = frozenset(
+            duty_holders("gateways", ips, COUNTING_STAGERS)
+        )
         due = near | counting
         if now >= self._next_far_greet_at:
             self._next_far_greet_at = now + FAR_GREET_INTERVAL_S
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import Protocol
 
 from fescuechute.catalog import ForwardedMeta, RequestMeta, RetryPolicy, Service
@@ -19,6 +20,7 @@
 from fescuechute.gateway._access import Allowed
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Requirements
+from fescuechute.gateway._contents import content_digests
 from fescuechute.platform import encode_forwarded_headers, is_response_to
 
 #: Timeout in seconds of a new connection to a replica. A round trip between regions takes about
@@ -49,6 +51,9 @@
     def response_buffers(self) -> ResponseBuffers:
         """Limit on the memory of incomplete responses."""
 
+    def is_quarantined(self, transfer: Transfer) -> bool:
+        """Returns whether the request has a content that crashes replicas."""
+
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
 
@@ -125,6 +130,11 @@
         self.first_event_at: float | None = None
         request.response.on_disconnect = self._on_client_gone
 
+    @cached_property
+    def contents(self) -> tuple[bytes, ...]:
+        """Digests of the contents that may crash a replica."""
+        return content_digests(self.request, self.meta)
+
     @property
     def attempts(self) -> int:
         """Number of replicas to which the request was sent."""
@@ -149,6 +159,8 @@
         if not self.request.response.is_open:
             return
         self._check_start(now)
+        if not self.request.response.is_open:
+            return
         if now >= self.deadline:
             self._cancel_attempt("timeout")
             self._fail(504, Reason.DEADLINE_PASSED)
@@ -166,6 +178,10 @@
         attempt = self._attempt
         if attempt is None or attempt.status:
             return
+        if self._dispatch.is_quarantined(self):
+            self._cancel_attempt("quarantined")
+            self._fail(503, Reason.QUARANTINED)
+            return
         if self.retryable and now >= self._dispatch.cancel_unstarted_at(self, attempt):
             self._cancel_attempt("version")
             self._retry_or_fail("version")
@@ -306,6 +322,9 @@
         )
 
     def _send(self, cause: str, avoid: str = "") -> None:
+        if self._dispatch.is_quarantined(self):
+            self._fail(503, Reason.QUARANTINED)
+            return
         choice = self._dispatch.choose(self.requirements(avoid))
         if choice is None:
             reason = Reason.UPSTREAM_LOST if self.may_have_run else Reason.NO_UPSTREAM
@@ -356,6 +375,8 @@
 
     def _record_progress(self, attempt: Attempt) -> None:
         now = self._dispatch.now()
+        if attempt.first_event_at is None:
+            attempt.first_event_at = now
         if self.first_event_at is None:
             self.first_event_at = now
         row = attempt.choice.row
--- a/fescuechute/net/__init__.py
+++ b/fescuechute/net/__init__.py
@@ -5,7 +5,12 @@
 from fescuechute.net._http import HttpCall, HttpClient, HttpResult
 from fescuechute.net._links import Link, LinkHandler, LinkHub
 from fescuechute.net._loop import Loop, tick
-from fescuechute.net._sockets import PEER_CLOSED, Connection, SocketOwner
+from fescuechute.net._sockets import (
+    PEER_CLOSED,
+    Connection,
+    SocketOwner,
+    is_connection_refused,
+)
 
 __all__ = [
     "PEER_CLOSED",
@@ -22,5 +27,6 @@
     "ManualClock",
     "SocketOwner",
     "SystemClock",
+    "is_connection_refused",
     "tick",
 ]
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import socket
 import time
 from collections import deque
@@ -18,6 +19,9 @@
 #: Reason passed to `on_closed` when the peer closed the connection cleanly, without a reset.
 PEER_CLOSED = "closed by the peer"
 
+#: The reason differs with whether the poller reports the failed connect as readable or as writable.
+_REFUSED_REASONS = frozenset({"connect failed: ECONNREFUSED", os.strerror(errno.ECONNREFUSED)})
+
 #: Maximum bytes per read from a socket.
 _MAX_READ_BYTES = 256 * 1024
 #: Reads per readable event, so that one busy peer cannot starve the others.
@@ -34,6 +38,11 @@
 _TCP_USER_TIMEOUT_MS = 3000
 
 
+def is_connection_refused(reason: str) -> bool:
+    """Returns whether a reason passed to `on_closed` says that no process listens at the address."""
+    return reason in _REFUSED_REASONS
+
+
 class Connection:
     """A non-blocking TCP connection with a write buffer.
 
--- a/fescuechute/platform/_names.py
+++ b/fescuechute/platform/_names.py
@@ -10,6 +10,8 @@
 MODEL = b"x-fescuechute-model"
 #: Number of prompt tokens and maximum number of output tokens, separated by a comma.
 TOKENS = b"x-fescuechute-token-count"
+#: Parts of the prompt in order, as comma-separated ID:TOKENS entries; the last one is not shared.
+PROMPT_PREFIX = b"x-fescuechute-prompt-prefix"
 LENGTH_HINT = b"x-fescuechute-length-hint"
 #: 0 to 9; 0 is admitted first.
 PRIORITY = b"x-fescuechute-request-priority"
--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -18,6 +18,10 @@
     }
 )
 
+#: Limits on the shared parts of a prompt that are decoded, and on the length of their ids.
+_MAX_SHARED_PARTS = 64
+_MAX_PART_ID_BYTES = 128
+
 
 def decode_request(headers: Headers) -> RequestMeta:
     """Decodes the header fields of a client's request; malformed fields count as absent."""
@@ -34,6 +38,7 @@
         prompt_tokens=_integer(token_counts[0]) or 0,
         max_tokens=(_integer(token_counts[1]) or 0) if len(token_counts) > 1 else 0,
         expected_tokens=_integer(fields.get(names.LENGTH_HINT)) or 0,
+        shared_parts=_shared_parts(fields.get(names.PROMPT_PREFIX, b"")),
     )
 
 
@@ -77,6 +82,16 @@
     )
 
 
+def _shared_parts(value: bytes) -> tuple[str, ...]:
+    """Returns the ids of all parts but the last one; malformed entries are skipped."""
+    ids = []
+    for entry in value.split(b",")[:-1][:_MAX_SHARED_PARTS]:
+        part_id = entry.partition(b":")[0].strip().lower()
+        if part_id and len(part_id) <= _MAX_PART_ID_BYTES:
+            ids.append(part_id.decode("latin-1"))
+    return tuple(ids)
+
+
 def _parse_key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").decode("latin-1").partition(" ")
     return key.strip() if scheme.lower() == names.KEY_SCHEME and key.strip() else None
--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -1,6 +1,7 @@
 """The stager: downloads declared weights for one engine, stages them there and orders the load."""
 
 from fescuechute.stager._chunk_transfer import ChunkLocation, ChunkTransfer, sha256
+from fescuechute.stager._crash_relay import CrashRelay
 from fescuechute.stager._daemon import StagerDaemon
 from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
 from fescuechute.stager._load_reporter import LoadReporter
@@ -10,6 +11,7 @@
 __all__ = [
     "ChunkLocation",
     "ChunkTransfer",
+    "CrashRelay",
     "LoadPlanner",
     "LoadReporter",
     "OrderLoad",
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -26,11 +26,19 @@
 )
 from fescuechute.runtime import Process
 from fescuechute.stager._chunk_transfer import USABLE_LINK_SHARE, ChunkLocation, ChunkTransfer
+from fescuechute.stager._crash_relay import CrashRelay
 from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan
-from fescuechute.wire import PROTOCOL_VERSION, Hello, Message, RelayOffer
+from fescuechute.wire import (
+    PROTOCOL_VERSION,
+    AnswerReport,
+    CrashReport,
+    Hello,
+    Message,
+    RelayOffer,
+)
 
 #: Seconds between two ticks.
 TICK_S = 0.05
@@ -108,6 +116,7 @@
         self.load_planner = LoadPlanner(now)
         self.recovery = Recovery(self._read_staged_chunk, self._on_staged_chunk)
         self.load_reporter = LoadReporter(cfg.engine_address, self.datagrams.send)
+        self.crash_relay = CrashRelay(self.load_reporter.counted_gateways, self.datagrams.send)
         self.operator_feed = self.make_feed(
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
@@ -167,6 +176,7 @@
         self._stage_and_load(now)
         self._log_progress(now)
         self.load_reporter.tick(self._report, now)
+        self.crash_relay.tick(now)
         if now >= self._close_at:
             self.close("stopped")
 
@@ -175,10 +185,12 @@
         self._close_at = now + SHUTDOWN_GRACE_S
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
-        """Handles the offer of a relay, or a subscription of a gateway to load messages."""
+        """Handles an offer of a relay, a report of a crash, or a subscription to load messages."""
         now = self.clock.now()
         if isinstance(msg, RelayOffer):
             self.datagrams.send((msg.ip, msg.datagram_port), self.relays.receive_offer(msg, now))
+        elif isinstance(msg, CrashReport | AnswerReport):
+            self.crash_relay.receive(msg, now)
         else:
             self.load_reporter.receive(msg, now)
 
--- a/fescuechute/stager/_load_reporter.py
+++ b/fescuechute/stager/_load_reporter.py
@@ -66,10 +66,15 @@
         subscription.address, subscription.interval_s = address, interval_s
         subscription.wants_count, subscription.expires_at = msg.wants_count, expires_at
         if msg.wants_count:
-            counted = sum(
-                s.wants_count and s.expires_at > now for s in self._subscriptions.values()
-            )
-            self._send(address, Gateways(counted))
+            self._send(address, Gateways(len(self.counted_gateways(now))))
+
+    def counted_gateways(self, now: float) -> dict[str, tuple[str, int]]:
+        """Returns the addresses of the gateways that ask for their number, by process id."""
+        return {
+            process_id: subscription.address
+            for process_id, subscription in self._subscriptions.items()
+            if subscription.wants_count and subscription.expires_at > now
+        }
 
     def tick(self, report: EngineReport | None, now: float) -> None:
         """Sends the load to each gateway to which a report is due."""
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -315,3 +315,27 @@
 
     #: (process id, IP address, port) of each relay.
     known: tuple[tuple[str, str, int], ...]
+
+
+@attrs.frozen
+class CrashReport(Message):
+    """Reports contents of requests that were in flight when an upstream crashed.
+
+    Sent by a gateway to stagers, which forward it to all gateways.
+    """
+
+    instance: str
+    #: Start time of the crashed process in unix milliseconds.
+    born_ms: int
+    #: Digests of the contents, 8 bytes each.
+    contents: tuple[bytes, ...]
+
+
+@attrs.frozen
+class AnswerReport(Message):
+    """Reports suspected contents with which requests were answered completely; sent likewise."""
+
+    #: Digests of the contents, 8 bytes each.
+    contents: tuple[bytes, ...]
+    #: Time since the answers, in milliseconds.
+    age_ms: int
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -304,3 +304,58 @@
     harness.cancel_at = harness.time
     harness.advance(0.2)
     assert not harness.calls[0].cancelled
+
+
+def test_quarantined_request_is_refused_as_not_run():
+    """Guards against sending a request that crashes replicas, and against a false 'may have run'."""
+    harness = TransferHarness(quarantined=True)
+    assert harness.calls == []
+    assert harness.client.status == 503
+    assert harness.results == [(503, "quarantined", "not_run")]
+
+
+@pytest.mark.parametrize(
+    ("name", "begun", "cancelled", "status"),
+    [("not begun", False, True, 502), ("begun", True, False, None)],
+)
+def test_attempt_is_cancelled_when_its_content_is_quarantined(name, begun, cancelled, status):
+    """Guards against crashes by requests that were sent before the quarantine began."""
+    harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
+    if begun:
+        harness.calls[0].send_events(event(1))
+    harness.quarantined = True
+    harness.advance(0.02)
+    assert harness.calls[0].cancelled is cancelled, name
+    assert len(harness.calls) == 1
+    assert harness.client.status == (200 if begun else status)
+
+
+def test_lost_stream_with_quarantined_content_is_not_resumed():
+    """Guards against a resumed stream that crashes one replica after the other."""
+    harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
+    harness.calls[0].send_events(event(1))
+    harness.quarantined = True
+    harness.calls[0].attempt.on_failed(CallFailure.BROKEN, "closed")
+    assert len(harness.calls) == 1
+    assert harness.client.end == "aborted"
+
+
+@pytest.mark.parametrize(
+    ("name", "fields", "parts", "seconds", "whole"),
+    [
+        ("with chunks", [(b"Transfer-Encoding", b"chunked")], [event(1)], 0.0, True),
+        ("with a length", [(b"Content-Length", b"20")], [event(1)], 0.0, True),
+        ("ended by its connection", [], [event(1)], 0.0, False),
+        ("ended by its connection, long", [], [event(1)], 1.5, True),
+        ("no event", [(b"Transfer-Encoding", b"chunked")], [], 0.0, False),
+    ],
+)
+def test_which_answers_show_that_a_content_is_sound(name, fields, parts, seconds, whole):
+    """Guards against a crash that is taken for the end of an answer, so that its content is cleared."""
+    harness = TransferHarness(RetryPolicy.STREAM, resumable=True)
+    attempt = harness.calls[0].attempt
+    attempt.on_head(200, [SEAL, *fields])
+    for part in parts:
+        attempt.on_data(part)
+    harness.time += seconds
+    assert attempt.is_whole_answer(harness.time) is whole, name
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -79,7 +79,14 @@
 class TransferHarness:
     """A transfer of one request, with replicas `u1`, `u2`, … and a retry budget."""
 
-    def __init__(self, retry_policy=RetryPolicy.IDEMPOTENT, resumable=False, upstreams=3, budget=5):
+    def __init__(
+        self,
+        retry_policy=RetryPolicy.IDEMPOTENT,
+        resumable=False,
+        upstreams=3,
+        budget=5,
+        quarantined=False,
+    ):
         self.time = 1000.0
         self.calls: list[Call] = []
         self.outcomes: list[str] = []
@@ -89,6 +96,8 @@
         #: Unix seconds at which attempts that have not started are cancelled.
         self.cancel_at = float("inf")
         self.budget = budget
+        #: Whether the content of the request is in quarantine.
+        self.quarantined = quarantined
         self.response_buffers = ResponseBuffers(1 << 20)
         self.client = ClientResponse()
         self.client.end_stream = self.client.end_stream
@@ -117,6 +126,9 @@
     def now(self):
         return self.time
 
+    def is_quarantined(self, transfer):
+        return self.quarantined
+
     def choose(self, requirements):
         rows = [row for row in self.rows if row.instance not in requirements.excluded]
         return Choice(rows[0], 0.1, None, len(rows)) if rows else None
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -15,8 +15,9 @@
 
 from fescuechute.checks import Address
 from fescuechute.relay import RelayDirectory
+from fescuechute.stager import CrashRelay
 from fescuechute.stager._load_reporter import LoadReporter
-from fescuechute.wire import FrameDecoder, RelayOffer, encode
+from fescuechute.wire import AnswerReport, CrashReport, FrameDecoder, RelayOffer, encode
 from tests.harness import Fleet
 
 #: Timeout of a wait in seconds; longer than every bound in the settings below.
@@ -46,9 +47,8 @@
         self.greeted: Counter[str] = Counter()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((self.ip, PEER_PORT))
-        self._reporter = LoadReporter(
-            Address(self.ip, 1), lambda to, msg: self._sock.sendto(encode(msg), to)
-        )
+        self._reporter = LoadReporter(Address(self.ip, 1), self._send)
+        self._crash_relay = CrashRelay(self._reporter.counted_gateways, self._send)
         self._relays = RelayDirectory()
         self._thread = threading.Thread(target=self._serve, daemon=True)
 
@@ -61,6 +61,9 @@
         self._thread.join(WAIT_S)
         self._sock.close()
 
+    def _send(self, to, msg) -> None:
+        self._sock.sendto(encode(msg), to)
+
     def _serve(self) -> None:
         while data := self._sock.recv(65_507):
             for msg in FrameDecoder().feed(data):
@@ -68,7 +71,11 @@
                     relays = self._relays.receive_offer(msg, time.time())
                     self._sock.sendto(encode(relays), (msg.ip, msg.datagram_port))
                     continue
+                if isinstance(msg, CrashReport | AnswerReport):
+                    self._crash_relay.receive(msg, time.time())
+                    continue
                 self._reporter.receive(msg, time.time())
+                self._crash_relay.tick(time.time())
                 self.greeted[msg.process_id] += 1
 
 
@@ -213,13 +220,24 @@
     def connect(self, gateway: int = 0) -> http.client.HTTPConnection:
         return http.client.HTTPConnection(self._ips[gateway], self.client_port, timeout=WAIT_S)
 
-    def send(self, path="/a/x", key="k1", body=b"body", request_id="9c41", host=HOST, conn=None):
+    def send(
+        self,
+        path="/a/x",
+        key="k1",
+        body=b"body",
+        request_id="9c41",
+        host=HOST,
+        conn=None,
+        prompt="",
+    ):
         """Sends a client request and returns the response."""
         conn = conn or self.connect()
         headers = {"Host": host, "X-Fescuechute-Request-Id": request_id}
         headers["X-Fescuechute-Deadline-Ms"] = "2500"
         if key:
             headers["Authorization"] = f"Token {key}"
+        if prompt:
+            headers["X-Fescuechute-Prompt-Prefix"] = prompt
         conn.request("POST", path, body=body, headers=headers)
         return Answer(conn.getresponse())
 
--- a/tests/platform/scripted_replica.py
+++ b/tests/platform/scripted_replica.py
@@ -43,6 +43,7 @@
         self.port = self._listener.getsockname()[1]
         self.script: Callable[[ReceivedRequest], list[bytes]] = complete
         self.received: list[ReceivedRequest] = []
+        self._connections: set[socket.socket] = set()
         self._thread = threading.Thread(target=self._accept, daemon=True)
 
     def start(self) -> None:
@@ -52,6 +53,13 @@
         self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
+    def crash(self) -> None:
+        """Closes all connections; further ones are refused."""
+        self.close()
+        for conn in list(self._connections):
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
     def attempts(self, request_id: bytes) -> int:
         """Returns the number of times that a request was received."""
         return sum(request.id == request_id for request in self.received)
@@ -66,6 +74,7 @@
             threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
 
     def _serve(self, conn: socket.socket) -> None:
+        self._connections.add(conn)
         with contextlib.suppress(OSError), conn:
             earlier = 0
             while (request := self._receive(conn, earlier)) is not None:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,5 +1,7 @@
 """Header fields: guards against leaked keys, forged fields and misread responses."""
 
+import pytest
+
 from fescuechute.catalog import ForwardedMeta
 from fescuechute.platform import (
     decode_request,
@@ -68,3 +70,20 @@
     """Guards against delivering a late response to the wrong client."""
     assert is_response_to("9c41", [(b"X-Fescuechute-Request-Id", b"9c41")])
     assert not is_response_to("9c41", [(b"X-Fescuechute-Request-Id", b"0000")])
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"5c1E:800, 91bd:410,e4402b7d:250", ("5c1e", "91bd")),
+        (b"5c1e:800", ()),
+        (b"", ()),
+        (b",:4,5c1e,", ("5c1e",)),
+        (b"a" * 129 + b":1,5c1e:2,7:1", ("5c1e",)),
+        (b"\xff:1,5c1e:2", ("\xff",)),
+        (b"1:1," * 1000, ("1",) * 64),
+    ],
+)
+def test_shared_parts_of_a_prompt(value, parts):
+    """Guards against a quarantine of the part that no other request has, and against endless lists."""
+    assert decode_request([(b"X-Fescuechute-Prompt-Prefix", value)]).shared_parts == parts
