Test responses that end with their connection

Evidence: the new tests pass without a change of the code. An unframed response is whole at an orderly close and not at a reset; a stream cut at any byte inside an event is resumed or visibly cut, never ended as whole.

--- a/tests/platform/scripted_replica.py
+++ b/tests/platform/scripted_replica.py
@@ -5,6 +5,7 @@
 import contextlib
 import re
 import socket
+import struct
 import threading
 from collections.abc import Callable
 
@@ -13,6 +14,8 @@
 _LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 _REQUEST_ID = re.compile(rb"(?i)\r\nx-fescuechute-request-id: *([^\r]*)")
 _LAST_EVENT_ID = re.compile(rb"(?i)\r\nlast-event-id: *(\d+)")
+#: Value of SO_LINGER with which closing a socket resets its connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Number of events of a complete stream.
 EVENTS = 3
 
@@ -35,13 +38,13 @@
     """Answers each request with the parts that a script returns, then closes or keeps the connection.
 
     The script is called with each request and returns the parts to send. An empty last part closes the
-    connection; otherwise the connection is kept.
+    connection, None resets it; otherwise the connection is kept.
     """
 
     def __init__(self):
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
-        self.script: Callable[[ReceivedRequest], list[bytes]] = complete
+        self.script: Callable[[ReceivedRequest], list[bytes | None]] = complete
         self.received: list[ReceivedRequest] = []
         self._connections: set[socket.socket] = set()
         self._thread = threading.Thread(target=self._accept, daemon=True)
@@ -81,6 +84,8 @@
                 earlier += 1
                 self.received.append(request)
                 for part in self.script(request):
+                    if part is None:
+                        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
                     if not part:
                         return
                     conn.sendall(part)
--- a/tests/platform/test_faulty_responses.py
+++ b/tests/platform/test_faulty_responses.py
@@ -227,3 +227,57 @@
     request_id, *answer = system.send("/a/x")
     assert answer == [200, WHOLE["/a/x"], True]
     assert system.replica.attempts(request_id) == 2
+
+
+def unframed(request):
+    """Returns a complete response that ends with its connection."""
+    body = (
+        b"".join(event(number) for number in range(request.last_event_id + 1, EVENTS + 1))
+        if request.path.startswith(b"/s/")
+        else WHOLE["/a/x"]
+    )
+    return head(b"200 OK", *own_fields(request)) + body
+
+
+@pytest.mark.parametrize("kind", PATHS)
+def test_response_that_ends_with_its_connection_is_whole(single, kind):
+    """Guards against a response without length or chunks that counts as cut off."""
+    single.replica.script = lambda request: [unframed(request), b""]
+    request_id, status, body, whole = single.send(PATHS[kind])
+    assert (status, body, whole) == (200, WHOLE[PATHS[kind]], True)
+    assert single.replica.attempts(request_id) == 1
+
+
+@pytest.mark.parametrize("second", [unframed, lambda request: stream(request)])
+def test_unframed_stream_that_ends_inside_an_event_is_resumed(system, second):
+    """Guards against a stream that was broken off and is ended as if it were complete."""
+    ends = {len(event(1)), len(event(1) + event(2)), len(WHOLE_STREAM)}
+    resumed = 0
+    for cut in range(len(WHOLE_STREAM)):
+
+        def script(request, cut=cut):
+            if request.attempts:
+                return [second(request), b""]
+            return [head(b"200 OK", *own_fields(request)) + WHOLE_STREAM[:cut], b""]
+
+        system.replica.script = script
+        request_id, status, body, whole = system.send("/s/x")
+        if cut in ends:
+            # The end of a complete event may be the end of the stream.
+            assert (status, body, whole) == (200, WHOLE_STREAM[:cut], True), cut
+        elif whole and status == 200:
+            assert body == WHOLE_STREAM, cut
+            assert system.replica.attempts(request_id) == 2, cut
+            resumed += 1
+        else:
+            # The retry budget allows only some of the many streams to be resumed.
+            assert WHOLE_STREAM.startswith(body) or status == 502, cut
+    assert resumed >= 3
+
+
+@pytest.mark.parametrize("kind", ["booking", "stream"])
+def test_unframed_response_that_is_reset_is_not_whole(single, kind):
+    """Guards against a reset that is taken for the end of a response without length."""
+    single.replica.script = lambda request: [unframed(request)[:-3], None]
+    _, status, _, whole = single.send(PATHS[kind])
+    assert status == 502 or not whole
