Suspect a crash behind a short answer that ends with its connection

What callers saw: nothing yet; found by reading. A replica that answers with neither length nor chunks and crashes after a whole event looks as if it had ended its answer, so the request was never a suspect and could crash one replica after the other.

Evidence: tests/platform/test_deadly_parts.py with /s/deadly-unframed fails on: all replicas are lost.

Change: such an answer, if it ends within 1 s after its first event, counts as a possible loss; the replica is asked whether it still accepts connections, as after any other loss.

--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -88,6 +88,12 @@
         """Whether the body ended in the middle of an event."""
         return bool(self._splitter.remainder.strip())
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the response has neither a length nor chunks."""
+        names = {name.lower() for name, _ in self.headers}
+        return bool(names) and names.isdisjoint((b"content-length", b"transfer-encoding"))
+
     def began_recently(self, now: float) -> bool:
         """Returns whether the replica began to write less than BEGIN_S ago, or has not begun."""
         return self.first_event_at is None or now < self.first_event_at + BEGIN_S
@@ -99,9 +105,7 @@
         """
         if not 200 <= self.status < 300 or (self._streaming and not self.event_count):
             return False
-        names = {name.lower() for name, _ in self.headers}
-        has_end = not names.isdisjoint((b"content-length", b"transfer-encoding"))
-        return has_end or not self.began_recently(now)
+        return not self.ends_with_connection or not self.began_recently(now)
 
     def on_head(self, status: int, headers: Headers) -> None:
         """Stores the response head until it is decided whether to forward it."""
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -176,6 +176,9 @@
             row.record_success()
             if attempt.is_whole_answer(now):
                 self._crashes.record_answer(transfer.contents)
+            elif attempt.ends_with_connection:
+                # The end of the answer may have been a crash.
+                self._crashes.record_loss(row, transfer.contents)
             return
         kind = outcome.partition(":")[0]
         if kind in ("broken", "incomplete event") and attempt.began_recently(now):
--- a/tests/platform/test_deadly_parts.py
+++ b/tests/platform/test_deadly_parts.py
@@ -2,17 +2,27 @@
 
 import http.client
 import itertools
+import time
 
 import pytest
 
 from tests.platform.deployment import Deployment, StagerStandIn, wait_until
-from tests.platform.scripted_replica import ScriptedReplica, complete
+from tests.platform.scripted_replica import ScriptedReplica, complete, event, head, own_fields
 
 REPLICAS = 8
 #: Crashes until the content is known, and one by an attempt sent before that.
 MAX_CRASHES = 4
 
 
+def _crash_in_answer(replica, request):
+    if b"unframed" in request.path:
+        yield head(b"200 OK", *own_fields(request)) + event(1)
+        # Data that the peer has not read yet would be lost in a reset.
+        time.sleep(0.05)
+    replica.crash()
+    yield b""
+
+
 class System:
     """Gateways in front of replicas that crash when they run a request to a path with `deadly`."""
 
@@ -41,8 +51,7 @@
             if b"deadly" not in request.path:
                 return complete(request)
             self.crashed.append(replica)
-            replica.crash()
-            return [b""]
+            return _crash_in_answer(replica, request)
 
         return script
 
@@ -73,7 +82,7 @@
     system.close()
 
 
-@pytest.mark.parametrize("path", ["/a/deadly", "/s/deadly", "/once/deadly"])
+@pytest.mark.parametrize("path", ["/a/deadly", "/s/deadly", "/once/deadly", "/s/deadly-unframed"])
 def test_requests_with_a_deadly_part_stop_reaching_replicas(system, path):
     """Guards against a part of a prompt that crashes one replica after the other."""
     for _ in range(12):
