Limit quarantines in time and end them by single trials

Cause: the end of a quarantine was the same moment at all gateways. Besides, a time in which nothing is answered, such as a stall of all engines, made every content in flight at the next crashes a suspect.

Change: a quarantine lasts 10 s, then 40 s, 160 s and so on. After it, each gateway waits for a random time and sends one request at a time; an answer frees the content at all gateways, a crash starts the next quarantine. The age of an answer is counted up to the latest answer with any content.

--- a/fescuechute/gateway/_crash_monitor.py
+++ b/fescuechute/gateway/_crash_monitor.py
@@ -20,6 +20,12 @@
 CRASH_WINDOW_S = 2.0
 #: Longest delay in seconds of a report of answers, so that not all gateways send the same one.
 MAX_ANSWER_REPORT_DELAY_S = 0.2
+#: Seconds after one request with a content on trial until the next one, unless it is answered.
+TRIAL_INTERVAL_S = 6.0
+#: Longest delay in seconds of the first trial, for each gateway and at most, so that few gateways make
+#: one before they learn of the outcome of the first.
+TRIAL_DELAY_S_PER_GATEWAY = 2.0
+MAX_TRIAL_DELAY_S = 60.0
 #: Limit on the length of an instance id in a report.
 _MAX_INSTANCE_CHARS = 256
 
@@ -46,6 +52,7 @@
       is_registered: Returns whether the entry of a row is still in the registry.
       relays: Returns the addresses of the stagers that forward reports to all gateways.
       send: Sends a datagram.
+      gateway_count: Returns the number of gateways presumed running, including this one.
       now: Returns unix seconds.
       rng: Seeded random number generator.
       telemetry: Records crashes and quarantines.
@@ -57,6 +64,7 @@
         is_registered: Callable[[UpstreamRow], bool],
         relays: Callable[[], Iterable[tuple[str, int]]],
         send: Callable[[tuple[str, int], Message], None],
+        gateway_count: Callable[[], int],
         now: Callable[[], float],
         rng: Random,
         telemetry: Telemetry,
@@ -65,6 +73,7 @@
         self._is_registered = is_registered
         self._relays = relays
         self._send = send
+        self._gateway_count = gateway_count
         self._now = now
         self._rng = rng
         self._telemetry = telemetry
@@ -73,17 +82,43 @@
         self._losses: dict[tuple[str, int], _Loss] = {}
         #: Unix seconds at which to report that a content was answered, if no other gateway does.
         self._answer_reports: dict[bytes, float] = {}
+        #: Unix seconds from which the next request with a content on trial may be sent.
+        self._next_trial_at: dict[bytes, float] = {}
         self._logged: frozenset[bytes] = frozenset()
 
     @property
-    def any_quarantined(self) -> bool:
-        """Whether any content is in quarantine."""
-        return bool(self._suspects.quarantined)
+    def any_restricted(self) -> bool:
+        """Whether any content is in quarantine or on trial."""
+        return bool(self._suspects.quarantined or self._suspects.on_trial)
+
+    def may_send(self, contents: Iterable[bytes]) -> bool:
+        """Returns whether an attempt may be sent; must be called only for one that is sent then.
+
+        After a quarantine, one request at a time shows whether the content still crashes replicas.
+        """
+        if self.quarantined(contents):
+            return False
+        now = self._now()
+        on_trial = [content for content in contents if content in self._suspects.on_trial]
+        for content in on_trial:
+            if content not in self._next_trial_at:
+                delay_s = min(MAX_TRIAL_DELAY_S, TRIAL_DELAY_S_PER_GATEWAY * self._gateway_count())
+                self._next_trial_at[content] = now + self._rng.uniform(0.0, delay_s)
+        if any(now < self._next_trial_at[content] for content in on_trial):
+            return False
+        for content in on_trial:
+            self._next_trial_at[content] = now + TRIAL_INTERVAL_S
+            self._telemetry.event("quarantine", reason="trial", content=content.hex())
+        return True
 
     def quarantined(self, contents: Iterable[bytes]) -> list[bytes]:
         """Returns those of the contents that are in quarantine."""
-        quarantined = self._suspects.quarantined
-        return [content for content in contents if content in quarantined]
+        return [content for content in contents if content in self._suspects.quarantined]
+
+    def restricted(self, contents: Iterable[bytes]) -> list[bytes]:
+        """Returns those of the contents that are in quarantine or on trial."""
+        restricted = self._suspects.quarantined | self._suspects.on_trial
+        return [content for content in contents if content in restricted]
 
     def record_loss(self, row: UpstreamRow, contents: Iterable[bytes]) -> None:
         """Records contents of an attempt that ended with its connection before it was answered."""
@@ -105,7 +140,7 @@
         """Records contents of an attempt that was answered completely."""
         now = self._now()
         for content in contents:
-            if content in self._suspects.accused:
+            if content in self._suspects.accused or content in self._suspects.on_trial:
                 self._answer_reports.setdefault(content, now)
             self._suspects.record_answer(content, now, now)
 
@@ -136,6 +171,8 @@
         due = [content for content, at in self._answer_reports.items() if at <= now]
         if due:
             self._report_answers(due, now)
+        for content in self._next_trial_at.keys() - self._suspects.on_trial:
+            del self._next_trial_at[content]
         quarantined = self._suspects.quarantined
         if quarantined != self._logged:
             for content in quarantined - self._logged:
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -88,6 +88,7 @@
             lambda row: self.upstreams.get(row.instance) is row,
             lambda: [(ip, cfg.peer_port) for ip in self.load_listener.counting_stagers],
             self.datagrams.send,
+            self._gateway_count,
             now,
             self.rng,
             self.telemetry,
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -85,9 +85,13 @@
 
     # The interface `Dispatch` of a transfer.
 
+    def may_send(self, transfer: Transfer) -> bool:
+        """Returns whether an attempt may be sent, given the contents that crash replicas."""
+        return not self._crashes.any_restricted or self._crashes.may_send(transfer.contents)
+
     def is_quarantined(self, transfer: Transfer) -> bool:
-        """Returns whether the request has a content that crashes replicas."""
-        return self._crashes.any_quarantined and bool(self._crashes.quarantined(transfer.contents))
+        """Returns whether the request has a content in quarantine."""
+        return self._crashes.any_restricted and bool(self._crashes.quarantined(transfer.contents))
 
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
@@ -231,7 +235,7 @@
             else round((first_event_at - received_at) * 1000),
             ms=round((now - received_at) * 1000),
             shortage=shortage,
-            quarantined=[content.hex() for content in self._crashes.quarantined(transfer.contents)]
+            quarantined=[content.hex() for content in self._crashes.restricted(transfer.contents)]
             if reason == Reason.QUARANTINED
             else None,
         )
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -51,8 +51,11 @@
     def response_buffers(self) -> ResponseBuffers:
         """Limit on the memory of incomplete responses."""
 
+    def may_send(self, transfer: Transfer) -> bool:
+        """Returns whether an attempt may be sent, given the contents that crash replicas."""
+
     def is_quarantined(self, transfer: Transfer) -> bool:
-        """Returns whether the request has a content that crashes replicas."""
+        """Returns whether the request has a content in quarantine."""
 
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
@@ -322,14 +325,14 @@
         )
 
     def _send(self, cause: str, avoid: str = "") -> None:
-        if self._dispatch.is_quarantined(self):
-            self._fail(503, Reason.QUARANTINED)
-            return
         choice = self._dispatch.choose(self.requirements(avoid))
         if choice is None:
             reason = Reason.UPSTREAM_LOST if self.may_have_run else Reason.NO_UPSTREAM
             self._fail(502 if self.may_have_run else 503, reason)
             return
+        if not self._dispatch.may_send(self):
+            self._fail(503, Reason.QUARANTINED)
+            return
         now = self._dispatch.now()
         attempt = Attempt(self, choice, self.streaming, now, self._dispatch.response_buffers)
         self._attempt = attempt
--- a/fescuechute/routing/_crash_suspects.py
+++ b/fescuechute/routing/_crash_suspects.py
@@ -10,11 +10,15 @@
 #: Distinct crashes in which a content must be a suspect before it is quarantined.
 MIN_CRASHES = 3
 #: Seconds after a complete answer during which a content is not suspected of a crash. A content
-#: may begin to crash upstreams at any time, so older answers prove nothing.
+#: may begin to crash upstreams at any time, so older answers prove nothing. Time in which nothing was
+#: answered does not count.
 CLEARED_S = 5.0
-#: Seconds until a crash is forgotten, and for which a content is first quarantined; the time doubles
-#: with each further quarantine of the content, up to the maximum.
+#: Seconds until a crash is forgotten.
 CRASH_TTL_S = 60.0
+#: Seconds for which a content is first quarantined, the factor by which this grows with each further
+#: quarantine of the content, and the maximum.
+QUARANTINE_S = 10.0
+QUARANTINE_GROWTH = 4.0
 MAX_QUARANTINE_S = 3600.0
 #: Limits on the crashes, the answered contents and the quarantined contents that are kept; the
 #: oldest are discarded.
@@ -27,9 +31,11 @@
 
 @attrs.define
 class _Crash:
-    """A crash of an upstream; `at` is in unix seconds."""
+    """A crash of an upstream; times are in unix seconds."""
 
     at: float
+    #: Latest complete answer with any content before the crash.
+    last_answer_at: float
     suspects: set[bytes] = attrs.field(factory=set)
 
 
@@ -37,9 +43,10 @@
 class _Quarantine:
     """The latest quarantine of a content."""
 
-    #: Unix seconds at which it ends, and of the latest crash that it is based on.
+    #: Unix seconds at which it ends.
     until: float
-    crash_at: float
+    #: Latest complete answer with any content before the crashes that it is based on.
+    last_answer_at: float
     #: Number of quarantines of this content so far.
     count: int
 
@@ -61,7 +68,10 @@
         self._answered_at: OrderedDict[bytes, float] = OrderedDict()
         #: Quarantines by content, including ended ones.
         self._quarantines: OrderedDict[bytes, _Quarantine] = OrderedDict()
+        #: Unix seconds of the latest complete answer with any content.
+        self._last_answer_at = 0.0
         self._active: frozenset[bytes] = frozenset()
+        self._on_trial: frozenset[bytes] = frozenset()
         self._accused: frozenset[bytes] = frozenset()
 
     @property
@@ -69,6 +79,11 @@
         """The contents in quarantine."""
         return self._active
 
+    @property
+    def on_trial(self) -> frozenset[bytes]:
+        """The contents whose quarantine has ended and that were not answered since."""
+        return self._on_trial
+
     @property
     def accused(self) -> frozenset[bytes]:
         """The contents that are a suspect in at least one crash."""
@@ -82,7 +97,7 @@
           suspects: Contents in flight that may have caused it.
           now: Unix seconds.
         """
-        crash = self._crashes.setdefault(crash_id, _Crash(now))
+        crash = self._crashes.setdefault(crash_id, _Crash(now, min(now, self._last_answer_at)))
         added = False
         for suspect in suspects:
             if suspect not in crash.suspects and len(crash.suspects) < MAX_SUSPECTS:
@@ -97,6 +112,7 @@
     def record_answer(self, content: bytes, answered_at: float, now: float) -> None:
         """Records that a request with a content was answered completely, `answered_at` in unix seconds."""
         answered_at = max(answered_at, self._answered_at.get(content, 0.0))
+        self._last_answer_at = max(self._last_answer_at, answered_at)
         self._answered_at[content] = answered_at
         self._answered_at.move_to_end(content)
         if len(self._answered_at) > MAX_ANSWERED:
@@ -110,8 +126,7 @@
 
     def is_cleared(self, content: bytes, now: float) -> bool:
         """Returns whether a content is not a suspect of a crash at this time."""
-        answered_at = self._answered_at.get(content)
-        return answered_at is not None and now <= answered_at + CLEARED_S
+        return _clears(self._answered_at.get(content), min(now, self._last_answer_at))
 
     def tick(self, now: float) -> None:
         """Forgets old crashes and ends quarantines."""
@@ -123,7 +138,9 @@
             self._decide(now)
 
     def _decide(self, now: float) -> None:
-        unexplained = [(crash.at, self._suspects(crash, now)) for crash in self._crashes.values()]
+        unexplained = [
+            (crash.last_answer_at, self._suspects(crash, now)) for crash in self._crashes.values()
+        ]
         self._accused = frozenset().union(*(suspects for _, suspects in unexplained))
         causes: set[bytes] = set()
         while True:
@@ -133,13 +150,12 @@
                 break
             causes |= found
             for content in found:
-                crash_at = max(at for at, suspects in unexplained if content in suspects)
-                self._quarantine(content, crash_at, now)
+                last_answer_at = max(at for at, suspects in unexplained if content in suspects)
+                self._quarantine(content, last_answer_at, now)
             unexplained = [(at, suspects) for at, suspects in unexplained if not suspects & found]
         open_suspects = frozenset().union(*(suspects for _, suspects in unexplained))
         for content, quarantine in list(self._quarantines.items()):
-            answered_at = self._answered_at.get(content, float("-inf"))
-            cleared = answered_at + CLEARED_S >= quarantine.crash_at
+            cleared = _clears(self._answered_at.get(content), quarantine.last_answer_at)
             # Later crashes may show that other contents explain those of this one.
             explained = content in self._accused - causes - open_suspects
             if cleared or (explained and quarantine.count == 1):
@@ -147,13 +163,14 @@
         self._active = frozenset(
             content for content, quarantine in self._quarantines.items() if quarantine.until > now
         )
+        self._on_trial = frozenset(self._quarantines.keys() - self._active)
 
     def _suspects(self, crash: _Crash, now: float) -> set[bytes]:
         """Returns the contents that may have caused a crash."""
         return {
             content
             for content in crash.suspects
-            if crash.at > self._answered_at.get(content, float("-inf")) + CLEARED_S
+            if not _clears(self._answered_at.get(content), crash.last_answer_at)
             and not self._was_quarantined_for(content, crash, now)
         }
 
@@ -183,14 +200,24 @@
             or causes
         )
 
-    def _quarantine(self, content: bytes, crash_at: float, now: float) -> None:
+    def _quarantine(self, content: bytes, last_answer_at: float, now: float) -> None:
         quarantine = self._quarantines.get(content)
         if quarantine is not None and quarantine.until > now:
-            quarantine.crash_at = max(crash_at, quarantine.crash_at)
+            quarantine.last_answer_at = max(last_answer_at, quarantine.last_answer_at)
             return
         count = 1 if quarantine is None else quarantine.count + 1
-        duration_s = min(MAX_QUARANTINE_S, CRASH_TTL_S * 2.0 ** min(count - 1, 30))
-        self._quarantines[content] = _Quarantine(now + duration_s, crash_at, count)
+        duration_s = min(MAX_QUARANTINE_S, QUARANTINE_S * QUARANTINE_GROWTH ** min(count - 1, 30))
+        self._quarantines[content] = _Quarantine(now + duration_s, last_answer_at, count)
         self._quarantines.move_to_end(content)
         if len(self._quarantines) > MAX_QUARANTINED:
             self._quarantines.popitem(last=False)
+
+
+def _clears(answered_at: float | None, last_answer_at: float) -> bool:
+    """Returns whether an answer shows that its content did not cause a crash.
+
+    Args:
+      answered_at: Unix seconds of the answer, or None if there was none.
+      last_answer_at: Unix seconds of the latest answer with any content before the crash.
+    """
+    return answered_at is not None and last_answer_at <= answered_at + CLEARED_S
--- a/tests/gateway/test_crash_monitor.py
+++ b/tests/gateway/test_crash_monitor.py
@@ -30,37 +30,35 @@
 
 
 class Network:
-    """Gateways that exchange reports through relays; `lost` names gateways that get none."""
+    """Gateways that exchange reports through relays."""
 
     def __init__(self, gateways=3, relays=2):
         self.now = 1000.0
-        self.lost = set()
         #: Whether connections are refused after a loss.
         self.refused = True
         self.registered = True
-        self.sent = 0
         self.names = {f"g{n}": (f"g{n}", 1) for n in range(gateways)}
         self.relays = {
             (f"s{n}", 1): CrashRelay(lambda _now: self.names, self._to_gateway)
             for n in range(relays)
         }
-        self.gateways = {name: self._make_gateway() for name in self.names}
+        self.gateways = {name: self._make_gateway(seed) for seed, name in enumerate(self.names)}
 
-    def _make_gateway(self):
+    def _make_gateway(self, seed=1):
         return CrashMonitor(
             lambda _address, on_result: on_result(self.refused),
             lambda _row: self.registered,
             lambda: list(self.relays),
             lambda to, msg: self.relays[to].receive(msg, self.now),
+            lambda: len(self.names),
             lambda: self.now,
-            Random(1),
+            Random(seed),
             Telemetry(),
         )
 
     def _to_gateway(self, address, msg):
-        self.sent += 1
         gateways = getattr(self, "gateways", {})
-        if address[0] in gateways and address[0] not in self.lost:
+        if address[0] in gateways:
             gateways[address[0]].receive(msg)
 
     def advance(self, seconds=0.3):
@@ -150,6 +148,43 @@
     assert network.quarantined() == {"g0": set(), "g1": set(), "g2": set()}
 
 
+@pytest.mark.parametrize("gateways", [1, 4, 12])
+def test_content_that_still_crashes_replicas_costs_few_after_its_quarantine(gateways):
+    """Guards against a crash for each gateway whenever a quarantine ends, and against endless ones."""
+    network = Network(gateways)
+    for number in range(3):
+        network.crash("g0", number, D)
+    crashed_at = []
+    running = {}
+    while network.now < 2000.0:
+        for name, gateway in network.gateways.items():
+            if running.get(name, network.now + 1) <= network.now:
+                del running[name]
+                crashed_at.append(network.now)
+                network.crash(name, 100 + len(crashed_at), D)
+            if name not in running and gateway.may_send([D]):
+                running[name] = network.now + 0.3
+        network.advance(0.1)
+    # The fifth crash in all is the second one here; three more requests may follow in a day.
+    assert 2 <= len(crashed_at) <= 5
+
+
+def test_content_answered_on_trial_is_free_at_all_gateways():
+    """Guards against a sound content that stays refused at some gateways."""
+    network = Network()
+    for number in range(3):
+        network.crash("g0", number, W)
+    assert not any(gateway.may_send([W]) for gateway in network.gateways.values())
+    network.advance(10.5)
+    while not network.gateways["g1"].may_send([W]):
+        network.advance(0.1)
+    assert not network.gateways["g1"].may_send([W])
+    network.gateways["g1"].record_answer([W])
+    network.advance()
+    for gateway in network.gateways.values():
+        assert gateway.may_send([W]) and gateway.may_send([W])
+
+
 @pytest.mark.parametrize(
     "msg",
     [
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -126,6 +126,9 @@
     def now(self):
         return self.time
 
+    def may_send(self, transfer):
+        return not self.quarantined
+
     def is_quarantined(self, transfer):
         return self.quarantined
 
