--- a/fescuechute/routing/_crash_suspects.py
+++ b/fescuechute/routing/_crash_suspects.py
@@ -17,7 +17,7 @@
 CRASH_TTL_S = 60.0
 #: Seconds for which a content is first quarantined, the factor by which this grows with each further
 #: quarantine of the content, and the maximum.
-QUARANTINE_S = 10.0
+QUARANTINE_S = 30.0
 QUARANTINE_GROWTH = 4.0
 MAX_QUARANTINE_S = 3600.0
 #: Limits on the crashes, the answered contents and the quarantined contents that are kept; the
--- a/tests/gateway/test_crash_monitor.py
+++ b/tests/gateway/test_crash_monitor.py
@@ -175,7 +175,7 @@
     for number in range(3):
         network.crash("g0", number, W)
     assert not any(gateway.may_send([W]) for gateway in network.gateways.values())
-    network.advance(10.5)
+    network.advance(30.5)
     while not network.gateways["g1"].may_send([W]):
         network.advance(0.1)
     assert not network.gateways["g1"].may_send([W])
--- a/tests/routing/test_crash_suspects.py
+++ b/tests/routing/test_crash_suspects.py
@@ -25,12 +25,12 @@
         ("answered long before it turned deadly", ["=D", "+9", "=W", "1 D", "2 D", "3 D"], "D"),
         ("nothing was answered for long", ["=W", "=V", "+30", "1 DVW", "2 DVW", "3 DVW"], "D"),
         ("crashes far apart", ["1 D", "+40", "2 D", "+40", "3 D"], ""),
-        ("quarantine outlasts the crashes", ["1 D", "2 D", "+55", "3 D", "+8"], "D"),
-        ("quarantine ends", ["1 D", "2 D", "3 D", "+11"], ""),
-        ("one crash after a quarantine", ["1 D", "2 D", "3 D", "+11", "4 D"], "D"),
-        ("second quarantine is longer", ["1 D", "2 D", "3 D", "+11", "4 D", "+39"], "D"),
-        ("second quarantine ends", ["1 D", "2 D", "3 D", "+11", "4 D", "+41"], ""),
-        ("one crash after an answer", ["1 D", "2 D", "3 D", "+11", "=D", "+9", "=W", "4 D"], ""),
+        ("quarantine outlasts the crashes", ["1 D", "2 D", "+55", "3 D", "+28"], "D"),
+        ("quarantine ends", ["1 D", "2 D", "3 D", "+31"], ""),
+        ("one crash after a quarantine", ["1 D", "2 D", "3 D", "+31", "4 D"], "D"),
+        ("second quarantine is longer", ["1 D", "2 D", "3 D", "+31", "4 D", "+119"], "D"),
+        ("second quarantine ends", ["1 D", "2 D", "3 D", "+31", "4 D", "+121"], ""),
+        ("one crash after an answer", ["1 D", "2 D", "3 D", "+31", "=D", "+9", "=W", "4 D"], ""),
     ],
 )  # fmt: skip
 def test_named_cases(name, events, quarantined):
