--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from typing import Protocol
 
 from fescuechute.catalog import ForwardedMeta, RequestMeta, RetryPolicy, Service
@@ -19,6 +20,7 @@
 from fescuechute.gateway._access import Allowed
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Requirements
+from fescuechute.gateway._contents import content_digests
 from fescuechute.platform import encode_forwarded_headers, is_response_to
 
 #: Timeout in seconds of a new connection to a replica. A round trip between regions takes about
@@ -49,6 +51,12 @@
     def response_buffers(self) -> ResponseBuffers:
         """Limit on the memory of incomplete responses."""
 
+    def may_send(self, transfer: Transfer) -> bool:
+        """Returns whether an attempt may be sent, given the contents that crash replicas."""
+
+    def is_quarantined(self, transfer: Transfer) -> bool:
+        """Returns whether the request has a content in quarantine."""
+
     def choose(self, requirements: Requirements) -> Choice | None:
         """Returns the best replica, or None if none is eligible."""
 
@@ -125,6 +133,11 @@
         self.first_event_at: float | None = None
         request.response.on_disconnect = self._on_client_gone
 
+    @cached_property
+    def contents(self) -> tuple[bytes, ...]:
+        """Digests of the contents that may crash a replica."""
+        return content_digests(self.request, self.meta)
+
     @property
     def attempts(self) -> int:
         """Number of replicas to which the request was sent."""
@@ -172,6 +185,10 @@
         attempt = self._attempt
         if attempt is None or attempt.status:
             return
+        if self._dispatch.is_quarantined(self):
+            self._cancel_attempt("quarantined")
+            self._fail(503, Reason.QUARANTINED)
+            return
         # The head of any other response that must not be retried comes at its end, so whether the
         # request has started is unknown.
         cancellable = self.retryable or self.streaming
@@ -320,6 +337,9 @@
             reason = Reason.UPSTREAM_LOST if self.may_have_run else Reason.NO_UPSTREAM
             self._fail(502 if self.may_have_run else 503, reason)
             return
+        if not self._dispatch.may_send(self):
+            self._fail(503, Reason.QUARANTINED)
+            return
         now = self._dispatch.now()
         attempt = Attempt(self, choice, self.streaming, now, self._dispatch.response_buffers)
         self._attempt = attempt
@@ -365,6 +385,8 @@
 
     def _record_progress(self, attempt: Attempt) -> None:
         now = self._dispatch.now()
+        if attempt.first_event_at is None:
+            attempt.first_event_at = now
         if self.first_event_at is None:
             self.first_event_at = now
         row = attempt.choice.row
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -8,6 +8,7 @@
 
 import errno
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -21,6 +22,9 @@
 #: Reason passed to `on_closed` when the peer closed the connection cleanly, without a reset.
 PEER_CLOSED = "closed by the peer"
 
+#: The reason differs with whether the poller reports the failed connect as readable or as writable.
+_REFUSED_REASONS = frozenset({"connect failed: ECONNREFUSED", os.strerror(errno.ECONNREFUSED)})
+
 #: Maximum bytes per read from a socket.
 _MAX_READ_BYTES = 256 * 1024
 #: Reads per readable event, so that one busy peer cannot starve the others.
@@ -42,6 +46,11 @@
 _INT = struct.Struct("i")
 
 
+def is_connection_refused(reason: str) -> bool:
+    """Returns whether a reason passed to `on_closed` says that no process listens at the address."""
+    return reason in _REFUSED_REASONS
+
+
 class Connection:
     """A non-blocking TCP connection with a write buffer.
 
