Release connections to the origin of weights once they are no longer used

Cause: a stager kept its connection to the origin for 5 s after its manifest, and the origin accepts 48 connections.

Change: a call states for how long its connection may be reused. After a manifest it is closed, after a chunk it is kept for 0.3 s, which spans the pauses between the chunks of a share.

--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -19,7 +19,8 @@
 
 #: Idle connections kept per server.
 _MAX_IDLE_PER_SERVER = 16
-#: Seconds for which an idle connection may be reused; shorter than the idle timeout of servers.
+#: Seconds for which an idle connection may be reused by default; shorter than the idle timeout of
+#: servers.
 _IDLE_TIMEOUT_S = 5.0
 #: Limit on a collected body in bytes; records of the store take 4 MB at most.
 MAX_BODY_BYTES = 16 << 20
@@ -82,6 +83,8 @@
     deadline: float
     #: Called for each received part of the response.
     on_progress: Callable[[], None] | None = None
+    #: Seconds for which the connection may be reused after the call; 0 closes it.
+    keep_idle_s: float = _IDLE_TIMEOUT_S
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
@@ -118,6 +121,7 @@
         idle_timeout_s: float = 2.0,
         deadline: float | None = None,
         new_connection: bool = False,
+        keep_idle_s: float = _IDLE_TIMEOUT_S,
     ) -> HttpCall:
         """Starts a request.
 
@@ -134,6 +138,7 @@
             `on_data`, and otherwise after 30 s beyond `idle_timeout_s`.
           new_connection: Whether to open a new connection. The server may close a pooled connection
             just before the request arrives, which leaves unknown whether the request was executed.
+          keep_idle_s: Seconds for which the connection may be reused after the call; 0 closes it.
 
         Returns:
           A handle to pass to `cancel`.
@@ -161,6 +166,7 @@
             idle_timeout_s,
             deadline,
             on_progress,
+            keep_idle_s,
         )
         self._calls.add(call)
         self._start_call(call, now, new_connection)
@@ -281,13 +287,17 @@
         call.done = True
         self._calls.discard(call)
         pool = self._idle[(call.address, call.port)]
-        keep_alive = call.protocol.their_state is h11.DONE and len(pool) < _MAX_IDLE_PER_SERVER
+        keep_alive = (
+            call.keep_idle_s > 0
+            and call.protocol.their_state is h11.DONE
+            and len(pool) < _MAX_IDLE_PER_SERVER
+        )
         # After unsolicited bytes, later responses could not be matched to their requests.
         trailing, closed = call.protocol.trailing_data
         if keep_alive and call.protocol.our_state is h11.DONE and not trailing and not closed:
             conn.on_data = lambda _data: conn.close()
             conn.on_closed = lambda _reason: None
-            pool.append((self._clock.now() + _IDLE_TIMEOUT_S, conn))
+            pool.append((self._clock.now() + call.keep_idle_s, conn))
         else:
             conn.close()
         transfer_s = 0.0 if call.first_byte_at is None else self._clock.now() - call.first_byte_at
--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -18,6 +18,9 @@
 _LOCAL_IDLE_TIMEOUT_S = 1.0
 #: The same for the origin; longer, because it serves all VMs over one link.
 _ORIGIN_IDLE_TIMEOUT_S = 1.5
+#: Seconds for which a connection to the origin is kept between two chunks. The origin accepts few
+#: connections, and one that is idle turns away another VM.
+_ORIGIN_KEEP_IDLE_S = 0.3
 #: Maximum number of bytes of a response body that are quoted in a log line.
 _MAX_DETAIL_BYTES = 200
 
@@ -136,7 +139,7 @@
             on_end(digests)
 
         path = f"{names.MANIFEST_PATH}/{quote(model, safe='')}?version={version}"
-        self._call(origin, path, on_result)
+        self._call(origin, path, on_result, keep_idle_s=0.0)
 
     def fetch_chunk(
         self,
@@ -154,9 +157,22 @@
             lambda result: on_end(result.body if result.ok else _failure_reason(result)),
         )
 
-    def _call(self, origin: Address, path: str, on_end: Callable[[HttpResult], None]) -> HttpCall:
-        server = (origin.ip, origin.port)
-        return self._http.call("GET", server, path, on_end, idle_timeout_s=_ORIGIN_IDLE_TIMEOUT_S)
+    def _call(
+        self,
+        origin: Address,
+        path: str,
+        on_end: Callable[[HttpResult], None],
+        *,
+        keep_idle_s: float = _ORIGIN_KEEP_IDLE_S,
+    ) -> HttpCall:
+        return self._http.call(
+            "GET",
+            (origin.ip, origin.port),
+            path,
+            on_end,
+            idle_timeout_s=_ORIGIN_IDLE_TIMEOUT_S,
+            keep_idle_s=keep_idle_s,
+        )
 
 
 def _classify_order_result(result: HttpResult) -> tuple[LoadOrderOutcome, str]:
