Pass manifests on along the ring in place of one request to the origin from each stager

Each of 102 stagers asked the origin for the manifest of a version, which accepts 48 connections and whose link takes 12 ms for one; a stager without a manifest fetches and passes on nothing.

Class of fault: work of one shared server that grows with the number of engines.

--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -4,6 +4,7 @@
 from fescuechute.stager._daemon import StagerDaemon
 from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
 from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan, VersionState
 
@@ -12,6 +13,7 @@
     "ChunkTransfer",
     "LoadPlanner",
     "LoadReporter",
+    "ManifestExchange",
     "OrderLoad",
     "Recovery",
     "StageChunk",
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -28,9 +28,11 @@
 from fescuechute.stager._chunk_transfer import USABLE_LINK_SHARE, ChunkLocation, ChunkTransfer
 from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
 from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan
-from fescuechute.wire import PROTOCOL_VERSION, Hello, Message, RelayOffer
+from fescuechute.weights import ORIGIN
+from fescuechute.wire import PROTOCOL_VERSION, Hello, Message, RelayOffer, VersionManifest
 
 #: Seconds between two ticks.
 TICK_S = 0.05
@@ -44,8 +46,11 @@
 REGISTRY_POLL_S = 3.0
 #: Seconds between two requests for the engine's report; they are cheap on the same VM.
 REPORT_POLL_S = 0.1
-#: Seconds between two rounds of requests for missing manifests.
+#: Seconds between two requests to the origin for the manifest of one version.
 MANIFEST_POLL_S = 0.3
+#: Seconds for which a stager without the registry, and so without a place in the ring, waits for its
+#: peers to send a manifest.
+MANIFEST_WAIT_S = 0.8
 #: Seconds between two log lines about missing chunks.
 PROGRESS_LOG_INTERVAL_S = 1.0
 #: Port for links between stagers, counted from the peer port of the VM.
@@ -104,6 +109,9 @@
             self.clock, self.transfer.serve, self.telemetry.count, "chunks"
         )
         self.loop.add(self.chunk_server)
+        self.manifests = ManifestExchange(
+            self.hub, self.transfer.ring.is_successor, self._on_manifest, self.telemetry
+        )
         self.versions = VersionPlan(self.transfer.store)
         self.load_planner = LoadPlanner(now)
         self.recovery = Recovery(self._read_staged_chunk, self._on_staged_chunk)
@@ -123,11 +131,12 @@
         #: Declared versions that are not planned yet, with the offsets of their records, by model.
         self._declarations: dict[str, tuple[int, int]] = {}
         self._registrations: dict[str, Registration] = {}
+        #: Whether the registry has been read.
+        self._registry_known = False
         #: Latest report of the engine, or None while it does not respond.
         self._report: EngineReport | None = None
         self._next_report_at = 0.0
         self._report_in_flight = False
-        self._next_manifests_at = 0.0
         #: Versions whose manifest was requested and has not arrived yet.
         self._manifests_in_flight: set[int] = set()
         #: Unix seconds at which a stopping process ends.
@@ -163,6 +172,7 @@
             self._next_report_at = now + REPORT_POLL_S
             self.engine.fetch_report(self._on_report)
         self._request_manifests(now)
+        self.manifests.share()
         self.transfer.tick()
         self._stage_and_load(now)
         self._log_progress(now)
@@ -258,8 +268,10 @@
 
     def _on_versions_changed(self) -> None:
         """Updates everything that depends on the known versions and their manifests."""
-        if self.versions.without_manifest():
-            self._next_manifests_at = 0.0
+        for version in self.versions.without_manifest():
+            digests = self.manifests.get(self.model, version)
+            if digests is not None:
+                self.versions.set_manifest(version, digests)
         self._start_recovery()
         self.transfer.retain(self.versions.retained_digests())
         self.transfer.set_wanted(self.versions.wanted_digests())
@@ -282,30 +294,38 @@
 
     def _request_manifests(self, now: float) -> None:
         origin_service = self._origin_service()
-        if now < self._next_manifests_at or origin_service is None or not self.model:
+        if origin_service is None or not self.model:
             return
-        self._next_manifests_at = now + MANIFEST_POLL_S
-        for version in self.versions.without_manifest():
+        wait_s = self.transfer.ring.origin_wait_s if self._registry_known else MANIFEST_WAIT_S
+        for version in self.manifests.origin_requests(
+            self.model, self.versions.without_manifest(), wait_s, MANIFEST_POLL_S, now
+        ):
             if version not in self._manifests_in_flight:
                 self._manifests_in_flight.add(version)
                 self._request_manifest(origin_service, version)
 
     def _request_manifest(self, origin_service: Service, version: int) -> None:
         assert origin_service.origin is not None
+        model = self.model
 
         def on_response(response: tuple[bytes, ...] | str) -> None:
             self._manifests_in_flight.discard(version)
             if isinstance(response, str):
-                self.telemetry.event("manifest.failed", version=version, reason=response)
+                self.telemetry.event(
+                    "manifest.failed", version=version, source=ORIGIN, reason=response
+                )
                 return
-            self.telemetry.event(
-                "manifest", model=self.model, version=version, chunks=len(response)
-            )
-            self.versions.set_manifest(version, response)
-            self._on_versions_changed()
-            self.transfer.start_fetches()
+            self.manifests.record_response(model, version, response)
 
-        self.origin.fetch_manifest(origin_service.origin, self.model, version, on_response)
+        self.origin.fetch_manifest(origin_service.origin, model, version, on_response)
+
+    def _on_manifest(self, model: str, version: int) -> None:
+        digests = self.manifests.get(model, version)
+        if model != self.model or digests is None:
+            return
+        self.versions.set_manifest(version, digests)
+        self._on_versions_changed()
+        self.transfer.start_fetches()
 
     def _origin_service(self) -> Service | None:
         services = self._services.values()
@@ -332,17 +352,22 @@
     def link_up(self, peer_id: str, hello: Hello) -> None:
         """Handles a new link to another stager."""
         self.transfer.peer_up(peer_id)
+        self.manifests.peer_up(peer_id)
         self.transfer.start_fetches()
 
     def link_down(self, peer_id: str, reason: str) -> None:
         """Handles the loss of a link to another stager."""
         self.telemetry.event("link.down", peer=peer_id, reason=reason)
         self.transfer.peer_down(peer_id)
+        self.manifests.peer_down(peer_id)
         self.transfer.start_fetches()
 
     def message(self, peer_id: str, msg: Message) -> None:
         """Handles a message of another stager."""
-        self.transfer.receive(msg, peer_id)
+        if isinstance(msg, VersionManifest):
+            self.manifests.receive(msg, peer_id)
+        else:
+            self.transfer.receive(msg, peer_id)
 
     def count(self, name: str) -> None:
         """Adds one to a counter."""
@@ -431,6 +456,7 @@
             self._update_ring()
 
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
+        self._registry_known = True
         for key in self._registrations.keys() - keys:
             del self._registrations[key]
         self._update_ring()
--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -247,6 +247,21 @@
             return True
         return peer_id not in self._predecessors and peer_id != self._skip_predecessor
 
+    @property
+    def origin_wait_s(self) -> float:
+        """Seconds for which this agent waits for peers to send what it needs before it asks the origin.
+
+        Zero for an agent that downloads a share; its successors follow one after the other.
+        """
+        shares = self._downloader_count
+        distance = min(
+            (self._position - index * self._length // shares) % self._length
+            for index in range(shares)
+        )
+        if not distance:
+            return 0.0
+        return self._limits.handover_timeout_s + distance * self._limits.handover_step_s
+
     @property
     def missing(self) -> int:
         """Number of wanted chunks that are not held."""
--- a/fescuechute/wire/__init__.py
+++ b/fescuechute/wire/__init__.py
@@ -34,6 +34,7 @@
     RelayOffer,
     Relays,
     Status,
+    VersionManifest,
 )
 
 __all__ = [
@@ -65,5 +66,6 @@
     "RelayOffer",
     "Relays",
     "Status",
+    "VersionManifest",
     "encode",
 ]
--- a/fescuechute/wire/_frames.py
+++ b/fescuechute/wire/_frames.py
@@ -53,6 +53,7 @@
     m.Load,
     m.RelayOffer,
     m.Relays,
+    m.VersionManifest,
 )
 _TYPE_CODES = {cls: code for code, cls in enumerate(_MESSAGE_TYPES)}
 _FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in _MESSAGE_TYPES}
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -315,3 +315,13 @@
 
     #: (process id, IP address, port) of each relay.
     known: tuple[tuple[str, str, int], ...]
+
+
+@attrs.frozen
+class VersionManifest(Message):
+    """Passes on the manifest of a version of a model."""
+
+    model: str
+    version: int
+    #: SHA-256 digests of the chunks in order, 32 bytes each.
+    digests: tuple[bytes, ...]
