--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -5,6 +5,7 @@
 from fescuechute.stager._daemon import StagerDaemon
 from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
 from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan, VersionState
 
@@ -14,6 +15,7 @@
     "CrashRelay",
     "LoadPlanner",
     "LoadReporter",
+    "ManifestExchange",
     "OrderLoad",
     "Recovery",
     "StageChunk",
--- a/fescuechute/wire/__init__.py
+++ b/fescuechute/wire/__init__.py
@@ -36,6 +36,7 @@
     RelayOffer,
     Relays,
     Status,
+    VersionManifest,
 )
 
 __all__ = [
@@ -69,5 +70,6 @@
     "RelayOffer",
     "Relays",
     "Status",
+    "VersionManifest",
     "encode",
 ]
--- a/fescuechute/wire/_frames.py
+++ b/fescuechute/wire/_frames.py
@@ -55,6 +55,7 @@
     m.Relays,
     m.CrashReport,
     m.AnswerReport,
+    m.VersionManifest,
 )
 _TYPE_CODES = {cls: code for code, cls in enumerate(_MESSAGE_TYPES)}
 _FIELD_NAMES = {cls: tuple(field.name for field in attrs.fields(cls)) for cls in _MESSAGE_TYPES}
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -339,3 +339,13 @@
     contents: tuple[bytes, ...]
     #: Time since the answers, in milliseconds.
     age_ms: int
+
+
+@attrs.frozen
+class VersionManifest(Message):
+    """Passes on the manifest of a version of a model."""
+
+    model: str
+    version: int
+    #: SHA-256 digests of the chunks in order, 32 bytes each.
+    digests: tuple[bytes, ...]
