Send manifests only to stagers that know the message

What callers would see in an upgrade of one VM after the other: a stager of this release sends VersionManifest to its successor; one of the release before closes a link on an unknown type, opens it again, and gets the message again, so chunks stop between the two releases. Found in the review of the merge, not seen in a run.

Change: a stager names in Hello.kind, which was empty for stagers, that it accepts manifests; others get none and ask the origin as before.

Evidence: test_stager_of_an_earlier_release_gets_no_manifest and test_stager_says_that_it_accepts_manifests fail with the stager of the commit before and pass here. No deployment of two releases was run.

--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -34,6 +34,7 @@
 from fescuechute.stager._versions import VersionPlan
 from fescuechute.weights import ORIGIN
 from fescuechute.wire import (
+    ACCEPTS_MANIFESTS,
     PROTOCOL_VERSION,
     AnswerReport,
     CrashReport,
@@ -97,6 +98,7 @@
             cfg.data_centre,
             self.process_id,
             cfg.service,
+            ACCEPTS_MANIFESTS,
         )
         self.hub = LinkHub(hello, self, self.clock)
         self.loop.add(self.hub)
@@ -365,7 +367,8 @@
     def link_up(self, peer_id: str, hello: Hello) -> None:
         """Handles a new link to another stager."""
         self.transfer.peer_up(peer_id)
-        self.manifests.peer_up(peer_id)
+        if hello.kind == ACCEPTS_MANIFESTS:
+            self.manifests.peer_up(peer_id)
         self.transfer.start_fetches()
 
     def link_down(self, peer_id: str, reason: str) -> None:
--- a/fescuechute/wire/__init__.py
+++ b/fescuechute/wire/__init__.py
@@ -8,6 +8,7 @@
 
 from fescuechute.wire._frames import MAX_FRAME_BYTES, FrameDecoder, encode
 from fescuechute.wire._messages import (
+    ACCEPTS_MANIFESTS,
     PROTOCOL_VERSION,
     Accepted,
     AnswerReport,
@@ -40,6 +41,7 @@
 )
 
 __all__ = [
+    "ACCEPTS_MANIFESTS",
     "MAX_FRAME_BYTES",
     "PROTOCOL_VERSION",
     "Accepted",
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -8,6 +8,9 @@
 
 #: Sent in every Hello. Must be increased whenever the fields of a message change.
 PROTOCOL_VERSION = 2
+#: Kind of a stager that knows the message `VersionManifest`. Earlier releases, whose stagers have no
+#: kind, close a link on which it arrives.
+ACCEPTS_MANIFESTS = "accepts_manifests"
 
 
 @attrs.frozen
@@ -29,7 +32,7 @@
     boot_id: str
     #: Upstream of an agent or service of a stager; empty for an entry.
     upstream: str = ""
-    #: `engine`, `service`, or empty for an entry.
+    #: `engine`, `service`, `ACCEPTS_MANIFESTS` for a stager, or empty.
     kind: str = ""
 
 
--- a/tests/stager/test_manifests.py
+++ b/tests/stager/test_manifests.py
@@ -9,7 +9,14 @@
 from fescuechute.feeds import KeyedRecord
 from fescuechute.stager import ManifestExchange, StagerDaemon
 from fescuechute.weights import Ring
-from fescuechute.wire import FrameDecoder, VersionManifest, encode
+from fescuechute.wire import (
+    ACCEPTS_MANIFESTS,
+    PROTOCOL_VERSION,
+    FrameDecoder,
+    Hello,
+    VersionManifest,
+    encode,
+)
 
 GOOD = tuple(bytes([n]) * 32 for n in range(96))
 #: Seconds within which every stager has the manifest; a requirement of the users (issue 22).
@@ -185,6 +192,33 @@
     return StagerDaemon(str(path))
 
 
+def hello_of(stager, kind=ACCEPTS_MANIFESTS):
+    cfg = stager.settings
+    return Hello(PROTOCOL_VERSION, cfg.ip, "stager", "r", "z", stager.process_id, "lm", kind)
+
+
+def test_stager_of_an_earlier_release_gets_no_manifest(tmp_path):
+    """Guards against links that an earlier release closes again and again on an unknown message."""
+    stager, earlier = (make_stager(tmp_path, f"127.0.0.{n}") for n in (1, 2))
+    sent = []
+    stager.hub.send = lambda peer_id, msg: sent.append(msg) or True
+    stager.origin.fetch_manifest = lambda *args: args[-1](GOOD)
+    for record in RECORDS:
+        stager._on_operator_record(record)
+    stager.link_up(earlier.settings.ip, hello_of(earlier, kind=""))
+    for _ in range(3):
+        stager._request_manifests(stager.clock.now() + 10.0)
+    assert stager.versions.get(2).digests == GOOD
+    assert not [msg for msg in sent if isinstance(msg, VersionManifest)]
+
+
+def test_stager_says_that_it_accepts_manifests(tmp_path):
+    """Guards against stagers that never send each other their manifests."""
+    stager = make_stager(tmp_path, "127.0.0.1")
+    (hello,) = FrameDecoder().feed(stager.hub._hello_frame)
+    assert hello == hello_of(stager)
+
+
 def test_stager_that_the_origin_turns_away_gets_the_manifest_of_its_peer(tmp_path):
     """Guards against an engine without the declared version because the origin accepts few connections."""
     served, refused = stagers = [make_stager(tmp_path, f"127.0.0.{n}") for n in (1, 2)]
@@ -204,8 +238,8 @@
     for stager in stagers:
         for record in RECORDS:
             stager._on_operator_record(record)
-    served.link_up(refused.settings.ip, None)
-    refused.link_up(served.settings.ip, None)
+    served.link_up(refused.settings.ip, hello_of(refused))
+    refused.link_up(served.settings.ip, hello_of(served))
     for _ in range(3):
         for stager in stagers:
             stager._request_manifests(stager.clock.now() + 10.0)
