Send no more requests to a replica that says that it is leaving

A replica states in its answers that it is leaving (`Server-Leaving: 1`), and a gateway that has passed on such an answer must not send to it any more.

Cause: gateways read the state of a replica from the registry alone.

Change: the head of a response marks the replica as leaving, also if its entry is withdrawn and registered again, until it restarts; its idle connections are closed. A 421 speaks for another replica at the same address and marks nothing.

Evidence: test_replica_that_says_that_it_leaves_gets_no_more_requests fails on in all six cases (three kinds of request, success and refusal) and passes here.

--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -55,3 +55,5 @@
     misdirected: bool
     #: Whether the response has the seal of the replica and no encoding added on the way.
     sealed: bool
+    #: Whether the replica states that it is leaving.
+    leaving: bool
--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -20,6 +20,9 @@
 class AttemptListener(Protocol):
     """Receives the events of an attempt."""
 
+    def attempt_head(self, attempt: Attempt) -> None:
+        """Called when the head of a response arrives."""
+
     def attempt_events(self, attempt: Attempt, events: list[StreamEvent]) -> None:
         """Called when complete events of a successful stream arrive."""
 
@@ -91,6 +94,7 @@
         # A response without an id on a kept connection may belong to an earlier request.
         first = self.call is None or self.call.is_first_on_connection
         self.identified = self.meta.names_request or first
+        self._listener.attempt_head(self)
 
     def on_data(self, data: bytes) -> None:
         """Passes on complete events of a stream, or buffers the body.
--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -70,7 +70,7 @@
     """Number of replicas of a service that remain after each condition, in the order applied."""
 
     known: int
-    #: Not in backoff and not excluded for this request.
+    #: Not leaving, not in backoff and not excluded for this request.
     up: int
     #: Not loading weights, and with an allowed version loaded.
     able: int
@@ -237,7 +237,7 @@
         oldest = max(self.required, 1)
         candidates = []
         for row in rows:
-            if now < row.backoff_until or row.instance in excluded:
+            if row.leaving or now < row.backoff_until or row.instance in excluded:
                 continue
             self.up += 1
             if is_engine and (row.loading or row.versions.get(model, -1) < oldest):
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -84,6 +84,7 @@
         )
         self.dispatcher = Dispatcher(
             self.upstream_client,
+            self.upstreams,
             chooser,
             cfg.service_levels,
             self.telemetry,
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -17,6 +17,7 @@
 from fescuechute.gateway._attempt import Attempt
 from fescuechute.gateway._choice import Choice, Chooser, Requirements
 from fescuechute.gateway._transfer import CONNECT_TIMEOUT_S, Transfer
+from fescuechute.gateway._upstreams import UpstreamTable
 from fescuechute.routing import RetryBudget
 from fescuechute.settings import ServiceLevels
 from fescuechute.telemetry import Telemetry
@@ -44,6 +45,7 @@
     def __init__(
         self,
         upstream_client: UpstreamClient,
+        upstreams: UpstreamTable,
         chooser: Chooser,
         service_levels: ServiceLevels,
         telemetry: Telemetry,
@@ -53,6 +55,7 @@
         response_buffers: ResponseBuffers,
     ):
         self._upstream_client = upstream_client
+        self._upstreams = upstreams
         self._chooser = chooser
         self._service_levels = service_levels
         self._telemetry = telemetry
@@ -154,6 +157,17 @@
             others=row.other_in_flight,
         )
 
+    def attempt_head(self, attempt: Attempt) -> None:
+        """Records that the replica is leaving if the response says so."""
+        row = attempt.choice.row
+        if (
+            attempt.meta is not None
+            and attempt.meta.leaving
+            and self._upstreams.record_leaving(row)
+        ):
+            self._upstream_client.close_idle(row.instance)
+            self._telemetry.event("upstream.leaving", upstream=row.instance)
+
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Records the end of an attempt; `outcome` is empty after a success."""
         row = attempt.choice.row
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -72,6 +72,9 @@
     def attempt_slow(self, transfer: Transfer, attempt: Attempt) -> None:
         """Records that the response to an attempt has not started in time."""
 
+    def attempt_head(self, attempt: Attempt) -> None:
+        """Records what the head of a response states about its replica."""
+
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Records the end of an attempt; `outcome` is empty after a success."""
 
@@ -185,6 +188,10 @@
 
     # Outcomes of attempts.
 
+    def attempt_head(self, attempt: Attempt) -> None:
+        """Records what the replica states about itself, also in a response that came too late."""
+        self._dispatch.attempt_head(attempt)
+
     def attempt_events(self, attempt: Attempt, events: list[StreamEvent]) -> None:
         """Forwards the events that the client has not received yet."""
         if attempt is not self._attempt:
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -19,6 +19,8 @@
 #: A request counts as lost if one of the same or a less urgent rank that was sent at least this
 #: many seconds later has started: engines start requests of one rank in the order of arrival.
 OVERTAKE_TOLERANCE_S = 0.5
+#: Limit on replicas that are remembered as leaving.
+MAX_LEFT = 4096
 #: Longest time since the last report for which arrivals from other gateways are estimated.
 MAX_EXTRAPOLATED_S = 1.0
 
@@ -53,6 +55,8 @@
     loading: bool = False
     #: Loaded version by model, from the latest report or registry entry.
     versions: dict[str, int] = attrs.field(factory=dict)
+    #: Whether the replica has stated in a response that it is leaving; it gets no more requests.
+    leaving: bool = False
     #: Unix seconds until which the replica gets no requests.
     backoff_until: float = 0.0
     #: Consecutive failures to reach the replica.
@@ -151,6 +155,8 @@
         self._by_service: dict[str, list[UpstreamRow]] = {}
         #: Replicas at each IP address and port; more than one after an address was used again.
         self._by_address: dict[tuple[str, int], list[UpstreamRow]] = {}
+        #: Start time of the last incarnation that stated that it is leaving, by instance, oldest first.
+        self._left: dict[str, int] = {}
         #: Increases when the ready replicas of a service change.
         self.generation = 0
 
@@ -180,6 +186,7 @@
                 entry, self._region_by_data_centre.get(entry.data_centre, entry.data_centre)
             )
             row.versions = {model.name: model.version for model in entry.models}
+            row.leaving = self._left.get(entry.instance) == entry.born_ms
             self._rows[entry.instance] = row
         else:
             row.expires_at = None
@@ -220,6 +227,20 @@
             self._unindex(row)
         return expired
 
+    def record_leaving(self, row: UpstreamRow) -> bool:
+        """Records that a replica stated that it is leaving; returns whether that is new.
+
+        The statement holds also if its entry is withdrawn and registered again, until it restarts.
+        """
+        if row.leaving:
+            return False
+        row.leaving = True
+        self._left.pop(row.instance, None)
+        self._left[row.instance] = row.entry.born_ms
+        if len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+        return True
+
     def at_address(self, ip: str, port: int) -> UpstreamRow | None:
         """Returns the most recently started replica at an address, or None."""
         rows = self._by_address.get((ip, port), ())
--- a/fescuechute/platform/_names.py
+++ b/fescuechute/platform/_names.py
@@ -16,6 +16,7 @@
 EXPECT_VERSION = b"x-fescuechute-expect-version"
 NOT_EXECUTED = b"x-fescuechute-not-executed"
 SEAL = b"x-fescuechute-response-seal"
+LEAVING = b"server-leaving"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 #: Authentication scheme of the `Authorization` field, in lower case.
--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -74,6 +74,8 @@
         # Clients request unencoded bodies, so an encoded body was altered on its way.
         sealed=header(headers, names.SEAL) is not None
         and header(headers, b"content-encoding") is None,
+        # The response to a misdirected request comes from another replica at the same address.
+        leaving=status != 421 and (header(headers, names.LEAVING) or b"").strip() == b"1",
     )
 
 
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -140,3 +140,16 @@
     assert rows.generation == generation
     rows.register(entry(state=UpstreamState.DRAINING))
     assert rows.generation > generation
+
+
+def test_leaving_replica_stays_leaving_until_it_restarts():
+    """Guards against requests to a leaving replica whose entry is withdrawn and registered again."""
+    rows = table()
+    rows.register(entry())
+    assert rows.record_leaving(rows.get("i-1"))
+    assert not rows.record_leaving(rows.get("i-1"))
+    rows.remove("i-1")
+    rows.register(entry())
+    assert rows.get("i-1").leaving
+    rows.register(entry(born=6))
+    assert not rows.get("i-1").leaving
--- a/tests/gateway/transfer_harness.py
+++ b/tests/gateway/transfer_harness.py
@@ -141,6 +141,9 @@
     def attempt_slow(self, transfer, attempt):
         self.slow_replicas.append(attempt.instance)
 
+    def attempt_head(self, attempt):
+        pass
+
     def attempt_ended(self, transfer, attempt, outcome):
         self.outcomes.append(outcome)
 
--- a/tests/platform/scripted_replica.py
+++ b/tests/platform/scripted_replica.py
@@ -12,6 +12,7 @@
 
 _LENGTH = re.compile(rb"(?i)\r\ncontent-length: *(\d+)")
 _REQUEST_ID = re.compile(rb"(?i)\r\nx-fescuechute-request-id: *([^\r]*)")
+_TARGET = re.compile(rb"(?i)\r\nx-fescuechute-target-instance: *([^\r]*)")
 _LAST_EVENT_ID = re.compile(rb"(?i)\r\nlast-event-id: *(\d+)")
 #: Number of events of a complete stream.
 EVENTS = 3
@@ -23,6 +24,8 @@
 
     id: bytes
     path: bytes
+    #: Instance that the request names.
+    target: bytes
     #: Id after which a stream continues, 0 for a new one.
     last_event_id: int
     #: Number of earlier requests on the connection.
@@ -89,10 +92,12 @@
             body += conn.recv(65536)
         request_id = _REQUEST_ID.search(head)
         last_event_id = _LAST_EVENT_ID.search(head)
+        target = _TARGET.search(head)
         id_ = request_id[1] if request_id else b""
         return ReceivedRequest(
             id_,
             head.split(b" ", 2)[1],
+            target[1] if target else b"",
             int(last_event_id[1]) if last_event_id else 0,
             earlier,
             self.attempts(id_),
--- a/tests/platform/test_faulty_responses.py
+++ b/tests/platform/test_faulty_responses.py
@@ -227,3 +227,28 @@
     request_id, *answer = system.send("/a/x")
     assert answer == [200, WHOLE["/a/x"], True]
     assert system.replica.attempts(request_id) == 2
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("answer", ["success", "refusal"])
+def test_replica_that_says_that_it_leaves_gets_no_more_requests(system, kind, answer):
+    """Guards against requests to a replica after it has stated in a response that it is leaving."""
+    path, leaving = PATHS[kind], set()
+
+    def script(request):
+        if not leaving:
+            leaving.add(request.target)
+        if request.target not in leaving:
+            return complete(request)
+        response = complete(request)[0] if answer == "success" else refusal(request.id)
+        status, _, rest = response.partition(b"\r\n")
+        return [status + b"\r\nServer-Leaving: 1\r\n" + rest]
+
+    system.replica.script = script
+    system.send(path)
+    before = len(system.replica.received)
+    for _ in range(20):
+        assert system.send(path)[1:] == (200, WHOLE[path], True)
+    later = {request.target for request in system.replica.received[before:]}
+    assert len(later) == 1
+    assert not later & leaving
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -68,3 +68,16 @@
     """Guards against delivering a late response to the wrong client."""
     assert is_response_to("9c41", [(b"X-Fescuechute-Request-Id", b"9c41")])
     assert not is_response_to("9c41", [(b"X-Fescuechute-Request-Id", b"0000")])
+
+
+def test_statement_that_a_replica_is_leaving_is_decoded():
+    """Guards against requests to a leaving replica, and against one that leaves on behalf of another."""
+    cases = [
+        ("success", 200, [(b"Server-Leaving", b"1")], True),
+        ("refusal, other case", 503, [(b"server-leaving", b" 1 ")], True),
+        ("not leaving", 200, [(b"Server-Leaving", b"0")], False),
+        ("no statement", 200, [], False),
+        ("another replica at the address", 421, [(b"Server-Leaving", b"1")], False),
+    ]
+    for name, status, fields, leaving in cases:
+        assert decode_response_meta(status, fields).leaving is leaving, name
