Send no requests to a replica within the Retry-After of its refusal

Cause: `Retry-After` of a replica was not read. A refused request spent a retry, and the next ones went to the same replica.

Change: the row of the replica holds the unix time until which it refuses; it is not eligible before. When every replica has asked to wait, the gateway refuses at once and its `Retry-After` is not earlier than the first of these times, with the jitter of before on top. Dates, signs and more than nine digits count as no statement.

--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -57,3 +57,5 @@
     sealed: bool
     #: Whether the replica states that it is leaving.
     leaving: bool
+    #: Seconds for which a replica that refused the request wants none from this gateway, or None.
+    retry_after_s: float | None
--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -70,7 +70,7 @@
     """Number of replicas of a service that remain after each condition, in the order applied."""
 
     known: int
-    #: Not leaving, not in backoff and not excluded for this request.
+    #: Not leaving, not in backoff, not waiting for a `Retry-After` and not excluded for this request.
     up: int
     #: Not loading weights, and with an allowed version loaded.
     able: int
@@ -145,6 +145,16 @@
         free = len(evaluation.candidates(rows))
         return Shortage(len(rows), evaluation.up, evaluation.able, free, evaluation.required)
 
+    def accepted_again_at(self, service: str, now: float) -> float:
+        """Returns the unix seconds at which the first replica accepts requests of this gateway.
+
+        That is `now` unless all replicas that are not leaving asked this gateway to wait.
+        """
+        subset = self._subsets.subset(service)
+        rows = (*subset.near, *subset.far)
+        times = [row.refuses_until for row in rows if not row.leaving]
+        return max(now, min(times, default=now))
+
     def connections_per_replica(self, service: Service) -> int:
         """Returns the connections to a replica that are this gateway's share of its limit."""
         share = CONNECTION_SHARE * service.max_connections / max(1, self._gateway_count())
@@ -237,7 +247,7 @@
         oldest = max(self.required, 1)
         candidates = []
         for row in rows:
-            if row.leaving or now < row.backoff_until or row.instance in excluded:
+            if now < row.usable_at() or row.instance in excluded:
                 continue
             self.up += 1
             if is_engine and (row.loading or row.versions.get(model, -1) < oldest):
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -137,9 +137,14 @@
         return allowed
 
     def retry_after_s(self, transfer: Transfer) -> float:
-        """Returns the `Retry-After` of a refusal, with jitter so that clients do not retry at once."""
+        """Returns the `Retry-After` of a refusal, with jitter so that clients do not retry at once.
+
+        It is not earlier than the time at which a replica accepts requests of this gateway again.
+        """
+        now = self.now()
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
-        return share * max(0.0, transfer.deadline - self.now())
+        wait_s = self._chooser.accepted_again_at(transfer.service.name, now) - now
+        return wait_s + share * max(0.0, transfer.deadline - now)
 
     def cancel_unstarted_at(self, transfer: Transfer, attempt: Attempt) -> float:
         """Returns the unix seconds at which the attempt is cancelled if it has not started."""
@@ -158,13 +163,12 @@
         )
 
     def attempt_head(self, attempt: Attempt) -> None:
-        """Records that the replica is leaving if the response says so."""
-        row = attempt.choice.row
-        if (
-            attempt.meta is not None
-            and attempt.meta.leaving
-            and self._upstreams.record_leaving(row)
-        ):
+        """Records whether the replica is leaving, and until when it wants no requests."""
+        row, meta = attempt.choice.row, attempt.meta
+        assert meta is not None
+        if meta.retry_after_s is not None:
+            row.refuses_until = max(row.refuses_until, self.now() + meta.retry_after_s)
+        if meta.leaving and self._upstreams.record_leaving(row):
             self._upstream_client.close_idle(row.instance)
             self._telemetry.event("upstream.leaving", upstream=row.instance)
 
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -73,7 +73,7 @@
         """Records that the response to an attempt has not started in time."""
 
     def attempt_head(self, attempt: Attempt) -> None:
-        """Records what the head of a response states about its replica."""
+        """Records what the head of a response, which is decoded, states about its replica."""
 
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Records the end of an attempt; `outcome` is empty after a success."""
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -57,6 +57,8 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     #: Whether the replica has stated in a response that it is leaving; it gets no more requests.
     leaving: bool = False
+    #: Unix seconds until which the replica wants no requests from this gateway, by its `Retry-After`.
+    refuses_until: float = 0.0
     #: Unix seconds until which the replica gets no requests.
     backoff_until: float = 0.0
     #: Consecutive failures to reach the replica.
@@ -112,6 +114,10 @@
         )
         return overtaken or 0.0 < self.last_started_at < sent_at
 
+    def usable_at(self) -> float:
+        """Returns the unix seconds from which requests may be sent, infinity if it is leaving."""
+        return float("inf") if self.leaving else max(self.backoff_until, self.refuses_until)
+
     def oldest_wait_s(self, now: float) -> float:
         """Returns the seconds since the oldest attempt whose response has not started was sent."""
         return now - next(iter(self.unstarted.values()), now)
--- a/fescuechute/platform/_names.py
+++ b/fescuechute/platform/_names.py
@@ -17,6 +17,7 @@
 NOT_EXECUTED = b"x-fescuechute-not-executed"
 SEAL = b"x-fescuechute-response-seal"
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 #: Authentication scheme of the `Authorization` field, in lower case.
--- a/fescuechute/platform/_requests.py
+++ b/fescuechute/platform/_requests.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
+
 from fescuechute.catalog import ForwardedMeta, RequestMeta, ResponseMeta
 from fescuechute.forwarding import Headers, header
 from fescuechute.platform import _names as names
 
+#: A decimal number of seconds, up to some years.
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 #: Fields from the client that are dropped or replaced before a request is forwarded.
 _REPLACED_FIELDS = frozenset(
     {
@@ -76,6 +80,7 @@
         and header(headers, b"content-encoding") is None,
         # The response to a misdirected request comes from another replica at the same address.
         leaving=status != 421 and (header(headers, names.LEAVING) or b"").strip() == b"1",
+        retry_after_s=_seconds(header(headers, names.RETRY_AFTER)) if status == 503 else None,
     )
 
 
@@ -84,6 +89,11 @@
     return key.strip() if scheme.lower() == names.KEY_SCHEME and key.strip() else None
 
 
+def _seconds(value: bytes | None) -> float | None:
+    text = (value or b"").strip()
+    return float(text) if _SECONDS.fullmatch(text) else None
+
+
 def _integer(value: bytes | None) -> int | None:
     if value is None:
         return None
--- a/tests/platform/test_faulty_responses.py
+++ b/tests/platform/test_faulty_responses.py
@@ -42,6 +42,8 @@
         replica.script = complete
         replica.received.clear()
         self._ids = itertools.count(1)
+        #: `Retry-After` of the last response in seconds, 0 without one.
+        self.retry_after_s = 0.0
         self._deployment = Deployment(fleet, directory, replicas=0)
         self._deployment.configure()
         for number in range(instances):
@@ -65,6 +67,7 @@
         try:
             conn.request("POST", path, b"body", headers)
             response = conn.getresponse()
+            self.retry_after_s = float(response.headers.get("Retry-After", 0))
             return request_id, response.status, response.read(), True
         except http.client.IncompleteRead as exc:
             return request_id, response.status, exc.partial, False
@@ -252,3 +255,34 @@
     later = {request.target for request in system.replica.received[before:]}
     assert len(later) == 1
     assert not later & leaving
+
+
+@pytest.mark.parametrize("kind", PATHS)
+def test_replica_that_asks_to_wait_gets_no_requests_until_then(system, kind):
+    """Guards against requests to a replica within the `Retry-After` of its refusal."""
+    path, asked = PATHS[kind], {}
+
+    def script(request):
+        if asked:
+            return complete(request)
+        asked[request.target] = time.monotonic() + 2.0
+        return [refusal(request.id).replace(b"\r\n", b"\r\nRetry-After: 2\r\n", 1)]
+
+    system.replica.script = script
+    system.send(path)
+    (target, until), before = next(iter(asked.items())), len(system.replica.received)
+    while time.monotonic() < until - 0.5:
+        assert system.send(path)[1:] == (200, WHOLE[path], True)
+    assert target not in {request.target for request in system.replica.received[before:]}
+    wait_until(lambda: system.send(path) and system.replica.received[-1].target == target)
+
+
+def test_refusal_tells_when_the_first_replica_accepts_requests_again(single):
+    """Guards against a client that is told to return while every replica still refuses."""
+    single.replica.script = lambda request: [
+        refusal(request.id).replace(b"\r\n", b"\r\nRetry-After: 9\r\n", 1)
+    ]
+    assert single.send("/a/x")[1] == 503
+    assert single.send("/a/x")[1] == 503
+    assert 8.0 < single.retry_after_s < 10.0
+    assert len(single.replica.received) == 1
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -81,3 +81,22 @@
     ]
     for name, status, fields, leaving in cases:
         assert decode_response_meta(status, fields).leaving is leaving, name
+
+
+def test_time_for_which_a_replica_wants_no_requests_is_decoded():
+    """Guards against requests to a replica that asked to wait, and against a malformed field."""
+    cases = [
+        ("seconds", 503, b"3", 3.0),
+        ("fraction", 503, b" 0.25 ", 0.25),
+        ("no refusal", 200, b"3", None),
+        ("another status", 429, b"3", None),
+        ("a date", 503, b"Sat, 05 Dec 2026 07:00:00 GMT", None),
+        ("negative", 503, b"-1", None),
+        ("too many digits", 503, b"9" * 5000, None),
+        ("exponent", 503, b"1e9", None),
+        ("not a number", 503, b"nan", None),
+    ]
+    for name, status, value, seconds in cases:
+        assert decode_response_meta(status, [(b"Retry-After", value)]).retry_after_s == seconds, (
+            name
+        )
