--- a/fescuechute/catalog/_requests.py
+++ b/fescuechute/catalog/_requests.py
@@ -57,3 +57,7 @@
     misdirected: bool
     #: Whether the response has the seal of the replica and no encoding added on the way.
     sealed: bool
+    #: Whether the replica states that it is leaving.
+    leaving: bool
+    #: Seconds for which a replica that refused the request wants none from this gateway, or None.
+    retry_after_s: float | None
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -18,6 +18,7 @@
 from fescuechute.gateway._choice import Choice, Chooser, Requirements
 from fescuechute.gateway._crash_monitor import CrashMonitor
 from fescuechute.gateway._transfer import CONNECT_TIMEOUT_S, Transfer
+from fescuechute.gateway._upstreams import UpstreamTable
 from fescuechute.routing import RetryBudget
 from fescuechute.settings import ServiceLevels
 from fescuechute.telemetry import Telemetry
@@ -45,6 +46,7 @@
     def __init__(
         self,
         upstream_client: UpstreamClient,
+        upstreams: UpstreamTable,
         chooser: Chooser,
         service_levels: ServiceLevels,
         telemetry: Telemetry,
@@ -55,6 +57,7 @@
         crashes: CrashMonitor,
     ):
         self._upstream_client = upstream_client
+        self._upstreams = upstreams
         self._chooser = chooser
         self._service_levels = service_levels
         self._telemetry = telemetry
@@ -151,9 +154,14 @@
         return allowed
 
     def retry_after_s(self, transfer: Transfer) -> float:
-        """Returns the `Retry-After` of a refusal, with jitter so that clients do not retry at once."""
+        """Returns the `Retry-After` of a refusal, with jitter so that clients do not retry at once.
+
+        It is not earlier than the time at which a replica accepts requests of this gateway again.
+        """
+        now = self.now()
         share = self._rng.uniform(RETRY_AFTER_MIN_SHARE, RETRY_AFTER_MAX_SHARE)
-        return share * max(0.0, transfer.deadline - self.now())
+        wait_s = self._chooser.accepted_again_at(transfer.service.name, now) - now
+        return wait_s + share * max(0.0, transfer.deadline - now)
 
     def cancel_unstarted_at(self, transfer: Transfer, attempt: Attempt) -> float:
         """Returns the unix seconds at which the attempt is cancelled if it has not started."""
@@ -171,6 +179,16 @@
             others=row.other_in_flight,
         )
 
+    def attempt_head(self, attempt: Attempt) -> None:
+        """Records whether the replica is leaving, and until when it wants no requests."""
+        row, meta = attempt.choice.row, attempt.meta
+        assert meta is not None
+        if meta.retry_after_s is not None:
+            row.refuses_until = max(row.refuses_until, self.now() + meta.retry_after_s)
+        if meta.leaving and self._upstreams.record_leaving(row):
+            self._upstream_client.close_idle(row.instance)
+            self._telemetry.event("upstream.leaving", upstream=row.instance)
+
     def attempt_ended(self, transfer: Transfer, attempt: Attempt, outcome: str) -> None:
         """Records the end of an attempt; `outcome` is empty after a success."""
         row = attempt.choice.row
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -87,3 +87,35 @@
 def test_shared_parts_of_a_prompt(value, parts):
     """Guards against a quarantine of the part that no other request has, and against endless lists."""
     assert decode_request([(b"X-Fescuechute-Prompt-Prefix", value)]).shared_parts == parts
+
+
+def test_statement_that_a_replica_is_leaving_is_decoded():
+    """Guards against requests to a leaving replica, and against one that leaves on behalf of another."""
+    cases = [
+        ("success", 200, [(b"Server-Leaving", b"1")], True),
+        ("refusal, other case", 503, [(b"server-leaving", b" 1 ")], True),
+        ("not leaving", 200, [(b"Server-Leaving", b"0")], False),
+        ("no statement", 200, [], False),
+        ("another replica at the address", 421, [(b"Server-Leaving", b"1")], False),
+    ]
+    for name, status, fields, leaving in cases:
+        assert decode_response_meta(status, fields).leaving is leaving, name
+
+
+def test_time_for_which_a_replica_wants_no_requests_is_decoded():
+    """Guards against requests to a replica that asked to wait, and against a malformed field."""
+    cases = [
+        ("seconds", 503, b"3", 3.0),
+        ("fraction", 503, b" 0.25 ", 0.25),
+        ("no refusal", 200, b"3", None),
+        ("another status", 429, b"3", None),
+        ("a date", 503, b"Sat, 05 Dec 2026 07:00:00 GMT", None),
+        ("negative", 503, b"-1", None),
+        ("too many digits", 503, b"9" * 5000, None),
+        ("exponent", 503, b"1e9", None),
+        ("not a number", 503, b"nan", None),
+    ]
+    for name, status, value, seconds in cases:
+        assert decode_response_meta(status, [(b"Retry-After", value)]).retry_after_s == seconds, (
+            name
+        )
