Take no stop that a replica has announced for a crash

What callers would see: a replica that says in its answers that it is leaving, then closes its connections and refuses new ones, before the registry shows it as draining, would count as crashed. Three such stops could quarantine a sound part of a prompt for 30 s.

Change: a loss at a replica that has announced its leaving accuses nothing.

Evidence: test_stop_that_a_replica_announced_is_no_crash fails without the change and passes with it.

--- a/fescuechute/gateway/_crash_monitor.py
+++ b/fescuechute/gateway/_crash_monitor.py
@@ -122,7 +122,9 @@
 
     def record_loss(self, row: UpstreamRow, contents: Iterable[bytes]) -> None:
         """Records contents of an attempt that ended with its connection before it was answered."""
-        if row.entry.state is not UpstreamState.READY or not self._is_registered(row):
+        # A replica that leaves ends its connections and then refuses new ones.
+        leaves = row.leaving or row.entry.state is not UpstreamState.READY
+        if leaves or not self._is_registered(row):
             return
         now = self._now()
         key = (row.instance, row.entry.born_ms)
--- a/tests/gateway/test_crash_monitor.py
+++ b/tests/gateway/test_crash_monitor.py
@@ -68,9 +68,9 @@
         for relay in self.relays.values():
             relay.tick(self.now)
 
-    def crash(self, name, number, *contents, state=UpstreamState.READY):
+    def crash(self, name, number, *contents, state=UpstreamState.READY, leaving=False):
         entry = Registration(f"i-{number}", "app", Address("10.0.0.1", 1), "z", state, 4)
-        self.gateways[name].record_loss(UpstreamRow(entry, "r"), contents)
+        self.gateways[name].record_loss(UpstreamRow(entry, "r", leaving=leaving), contents)
 
     def quarantined(self):
         return {name: set(g.quarantined([D, W])) for name, g in self.gateways.items()}
@@ -127,6 +127,14 @@
     assert bool(network.quarantined()["g0"]) is crashes, name
 
 
+def test_stop_that_a_replica_announced_is_no_crash():
+    """Guards against sound contents that are accused of a stop before the registry shows it."""
+    network = Network()
+    for number in range(4):
+        network.crash("g0", number, D, leaving=True)
+    assert network.quarantined()["g0"] == set()
+
+
 def test_real_crash_after_a_lost_connection_is_noticed():
     """Guards against a lost connection that hides the crash of the same replica."""
     network = Network()
