Split the deadlines of a planned stop out of the gateway daemon

What a reader met: gateway/_daemon.py had grown to 459 lines, with three deadlines, their constants and the choice of requests that can still finish among connections, records and feeds.

Change: gateway/_drain.py holds the deadlines and that choice, without input or output, with a table of named cases. Nothing is decided differently; the daemon has 435 lines.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fescuechute.catalog import Configuration, RequestMeta, Route, VersionDeclaration
+from fescuechute.catalog import Configuration, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
@@ -16,6 +16,7 @@
 from fescuechute.gateway._choice import Chooser
 from fescuechute.gateway._crash_monitor import CrashMonitor
 from fescuechute.gateway._dispatch import Dispatcher
+from fescuechute.gateway._drain import Drain
 from fescuechute.gateway._loads import LoadListener
 from fescuechute.gateway._subset import SubsetSelector
 from fescuechute.gateway._transfer import Transfer
@@ -47,19 +48,10 @@
 FIRST_READ_WAIT_S = 0.5
 #: Port at which the operators' records are passed on, counted from the peer port of the VM.
 RELAY_PORT_OFFSET = 3
-#: Seconds after a stop request for which new connections are still accepted. The load balancer
-#: checks readiness once a second and removes a process after two failed checks.
-DRAIN_ACCEPT_S = 3.0
-#: Target latencies of its route within which a request that may not be repeated is expected to end.
-UNREPEATABLE_TARGETS = 4
 #: Share of the memory of the process that incomplete responses may take.
 RESPONSE_MEMORY_SHARE = 0.125
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
-#: Shares of the grace period before the kill after which the requests in flight are ended, and the
-#: process closes. The time between them is for their answers to be written.
-GRACE_SHARE = 0.85
-CLOSE_SHARE = 0.95
 
 
 class GatewayDaemon(Process):
@@ -148,9 +140,7 @@
         self._started_at = now()
         #: Whether any replica was ever known; the registry may be read before replicas are in it.
         self._has_known_replicas = False
-        self._accept_until = float("inf")
-        self._finish_deadline = float("inf")
-        self._close_deadline = float("inf")
+        self._planned_stop = Drain()
         self._was_ready = False
         #: Whether this gateway reads from the store, and the number of relays known in its region.
         self._relay_role = (False, 0)
@@ -203,10 +193,7 @@
 
     def on_stop(self, now: float) -> None:
         """Starts to drain; new connections are accepted until the load balancer has noticed."""
-        self._accept_until = now + DRAIN_ACCEPT_S
-        grace_s = self.settings.service_levels.grace_s
-        self._finish_deadline = now + grace_s * GRACE_SHARE
-        self._close_deadline = now + grace_s * CLOSE_SHARE
+        self._planned_stop = Drain.start(now, self.settings.service_levels.grace_s)
         self.callers.draining = True
         self.operator_log.relaying = self.registry_log.relaying = False
         self.relay_router.close()
@@ -277,13 +264,14 @@
         return self.load_listener.gateway_count(self.clock.now())
 
     def _drain(self, now: float) -> None:
-        if now < self._accept_until and now < self._finish_deadline:
+        stop = self._planned_stop
+        if now < min(stop.accept_until, stop.finish_deadline):
             return
         self.callers.stop_listening()
         # A request that arrives on a keep-alive connection from now on might not finish in the
         # grace period.
         self.callers.close_idle()
-        if now >= self._finish_deadline:
+        if now >= stop.finish_deadline:
             if self.dispatcher.active_transfers:
                 cut = self.dispatcher.active_transfers
                 self.telemetry.event("drain.cut", requests=cut)
@@ -291,7 +279,7 @@
             self.callers.reject_incomplete("The gateway stops; send the request again.")
         if self.callers.open_connections == 0:
             self.close("drained")
-        elif now >= self._close_deadline:
+        elif now >= stop.close_deadline:
             self.close("grace is over")
 
     # Requests.
@@ -299,7 +287,7 @@
     def _handle(self, request: ClientRequest) -> None:
         now = self.clock.now()
         meta = decode_request(request.headers)
-        if now >= self._accept_until:
+        if now >= self._planned_stop.accept_until:
             self._deny(request, meta.request_id, Denied(Reason.NOT_READY, "stopping"), now)
             return
         host = (header(request.headers, b"host") or b"").decode("latin-1").partition(":")[0]
@@ -309,7 +297,7 @@
         if isinstance(decision, Denied):
             self._deny(request, meta.request_id, decision, now)
             return
-        if self.stopping and not self._can_finish(decision.route, meta, now):
+        if not self._planned_stop.can_finish(decision.route, meta.client_timeout_s, now):
             self._deny(request, meta.request_id, Denied(Reason.DRAINING, "stopping"), now)
             return
         table = self.access.table
@@ -319,18 +307,6 @@
             return
         self.dispatcher.start(Transfer(request, meta, decision, service, self.dispatcher))
 
-    def _can_finish(self, route: Route, meta: RequestMeta, now: float) -> bool:
-        """Returns whether a request can be expected to end before those in flight are ended.
-
-        Another gateway can run what is refused here. One that may not be repeated needs a margin,
-        since its client cannot send it again once it was cut.
-        """
-        timeout_s = route.timeout_s
-        if meta.client_timeout_s is not None:
-            timeout_s = min(timeout_s, meta.client_timeout_s)
-        targets = 1 if route.retryable else UNREPEATABLE_TARGETS
-        return now + min(timeout_s, targets * route.target_latency_s) <= self._finish_deadline
-
     def _deny(self, request: ClientRequest, request_id: str, denied: Denied, now: float) -> None:
         status = refusal(denied.reason).status
         confirmed_at = self.operator_feed.confirmed_at
