--- a/review/3/run.py
+++ b/review/3/run.py
@@ -95,4 +95,4 @@
     return held
 
 
-p.run_case(case, Path(__file__).resolve().parent)
+p.run_case(case, Path(__file__).resolve().parent, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -354,16 +354,18 @@
     return Answer(data, False)
 
 
-def run_case(case: Callable[[Path, Record, bool, list[Program]], bool], directory: Path) -> None:
+def run_case(
+    case: Callable[[Path, Record, bool, list[Program]], bool], directory: Path, trouble: bool
+) -> None:
     """Runs a case and exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
     Args:
       case: Called with a temporary folder, the record, whether to make the disruption, and the list of
         programs to end; returns whether the rule held.
       directory: Folder of the case.
+      trouble: Whether to make the disruption.
     """
     record = Record(directory)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     programs: list[Program] = []
     status = NOT_RUN
     with tempfile.TemporaryDirectory() as folder:
