--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -371,7 +371,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             status = HELD if case(Path(folder), record, trouble, programs) else BROKEN
-        except (CaseError, OSError) as exc:
+        except Exception as exc:
             record.add(f"the case could not run: {type(exc).__name__}: {exc}")
         finally:
             for program in programs:
