Count the age of a staged chunk from the start of its staging

Cause: LoadPlanner.on_staged dated a chunk by the moment at which the response was handled. A response that was unread while the stager was stopped made its chunk look new, and the load was ordered without staging it again. An order could also leave a stopped process seconds after it had been decided, because it goes out on a new connection.

The new tests fail without the change (age counts from the response; an order without a time after which it is not sent).

Change: the planner keeps the time at which the staging of a chunk started. An order carries a deadline for sending, 2.5 s after its oldest chunk; HttpClient checks it once the connection is established. The log line `order` has the age of the oldest chunk (oldest_s).

--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -81,6 +81,8 @@
     idle_timeout_s: float
     #: Unix seconds at which the call fails regardless of progress.
     deadline: float
+    #: Unix seconds after which the request is not sent any more.
+    send_deadline: float
     #: Called for each received part of the response.
     on_progress: Callable[[], None] | None = None
     #: Seconds for which the connection may be reused after the call; 0 closes it.
@@ -120,6 +122,7 @@
         on_progress: Callable[[], None] | None = None,
         idle_timeout_s: float = 2.0,
         deadline: float | None = None,
+        send_deadline: float = float("inf"),
         new_connection: bool = False,
         keep_idle_s: float = _IDLE_TIMEOUT_S,
     ) -> HttpCall:
@@ -136,6 +139,8 @@
           idle_timeout_s: Seconds without incoming data after which the call fails.
           deadline: Unix seconds at which the call fails regardless of progress; by default none with
             `on_data`, and otherwise after 30 s beyond `idle_timeout_s`.
+          send_deadline: Unix seconds after which the request is not sent any more; the call then
+            fails. A process that was stopped while it connected may be that late.
           new_connection: Whether to open a new connection. The server may close a pooled connection
             just before the request arrives, which leaves unknown whether the request was executed.
           keep_idle_s: Seconds for which the connection may be reused after the call; 0 closes it.
@@ -165,6 +170,7 @@
             now + idle_timeout_s,
             idle_timeout_s,
             deadline,
+            send_deadline,
             on_progress,
             keep_idle_s,
         )
@@ -230,6 +236,9 @@
 
     def _send(self, call: HttpCall) -> None:
         assert call.conn is not None and call.protocol is not None
+        if self._clock.now() >= call.send_deadline:
+            self._fail(call, "too late to be sent")
+            return
         call.sent = True
         data = call.protocol.send(call.request) or b""
         if call.request_body:
--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -64,16 +64,33 @@
         self._call("GET", names.REPORT_PATH, on_result)
 
     def order_load(
-        self, model: str, version: int, on_end: Callable[[LoadOrderOutcome, str], None]
+        self,
+        model: str,
+        version: int,
+        on_end: Callable[[LoadOrderOutcome, str], None],
+        *,
+        send_deadline: float,
     ) -> None:
-        """Orders the engine to load the staged version after its active requests have finished."""
+        """Orders the engine to load the staged version after its active requests have finished.
+
+        Args:
+          model: Name of the model.
+          version: The version.
+          on_end: Called with the outcome and a text for the log.
+          send_deadline: Unix seconds after which the order is not sent any more.
+        """
         body = {"operation": "start", "model": model, "version": version, "switch_mode": "queue"}
 
         def on_result(result: HttpResult) -> None:
             on_end(*_classify_order_result(result))
 
         self._call(
-            "POST", names.ORDER_PATH, on_result, json.dumps(body).encode(), new_connection=True
+            "POST",
+            names.ORDER_PATH,
+            on_result,
+            json.dumps(body).encode(),
+            new_connection=True,
+            send_deadline=send_deadline,
         )
 
     def stage_chunk(
@@ -97,6 +114,7 @@
         on_end: Callable[[HttpResult], None],
         body: bytes = b"",
         new_connection: bool = False,
+        send_deadline: float = float("inf"),
     ) -> None:
         self._http.call(
             method,
@@ -106,6 +124,7 @@
             body=body,
             idle_timeout_s=_LOCAL_IDLE_TIMEOUT_S,
             new_connection=new_connection,
+            send_deadline=send_deadline,
         )
 
 
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -232,10 +232,16 @@
 
     def _order_load(self, command: OrderLoad) -> None:
         version = command.version
+        oldest_s = round(self.clock.now() - command.oldest_staged_at, 3)
 
         def on_outcome(outcome: LoadOrderOutcome, detail: str) -> None:
             self.telemetry.event(
-                "order", model=self.model, version=version, reason=outcome, detail=detail
+                "order",
+                model=self.model,
+                version=version,
+                reason=outcome,
+                detail=detail,
+                oldest_s=oldest_s,
             )
             accepted = outcome in (
                 LoadOrderOutcome.STARTED,
@@ -244,7 +250,7 @@
             )
             self.load_planner.on_order_ended(accepted)
 
-        self.engine.order_load(self.model, version, on_outcome)
+        self.engine.order_load(self.model, version, on_outcome, send_deadline=command.send_deadline)
 
     def _log_progress(self, now: float) -> None:
         missing = self.transfer.ring.missing
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fescuechute.net import HttpClient
+from fescuechute.net import HttpClient, ManualClock
 from fescuechute.net._http import MAX_BODY_BYTES
 from tests.forwarding.harness import TIMEOUT_S, RawUpstream, read_until, running_loop
 
@@ -50,6 +50,37 @@
         assert closed.wait(TIMEOUT_S)
 
 
+@pytest.mark.parametrize(("late_s", "sent"), [(0.0, True), (4.0, False)])
+def test_request_is_not_sent_after_its_send_deadline(late_s, sent):
+    """Guards against a request that leaves a stopped process after it has become outdated."""
+    upstream, results, clock = RawUpstream(), queue.Queue(), ManualClock()
+    with running_loop(lambda _clock: HttpClient(clock)) as (loop, client):
+
+        def call() -> None:
+            server = ("127.0.0.1", upstream.port)
+            send_deadline = clock.now() + 1.0
+            client.call(
+                "POST",
+                server,
+                "/",
+                results.put,
+                idle_timeout_s=float("inf"),
+                send_deadline=send_deadline,
+            )
+            # The connection is established only after the process continues.
+            clock.advance(late_s)
+
+        loop.call_at(0.0, call)
+        conn = upstream.accept()
+        if sent:
+            read_until(conn, b"\r\n\r\n")
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        result = results.get(timeout=TIMEOUT_S)
+        assert (result.ok, result.sent) == (sent, sent)
+        if not sent:
+            assert conn.recv(1) == b""
+
+
 def test_connection_with_a_second_response_is_not_used_again():
     """Guards against a repeated response that is taken for the one to the next request."""
     upstream, results = RawUpstream(), queue.Queue()
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -140,6 +140,31 @@
         restaged = planner.plan(target, engine_report(), 3.0)
         assert [command.index for command in restaged] == [0, 1]
 
+    def test_the_age_of_a_chunk_counts_from_the_start_of_its_staging(self):
+        """Guards against loading chunks that became corrupt while the stager was stopped."""
+        clock = [0.0]
+        planner = LoadPlanner(lambda: clock[0])
+        target = VersionState(2, (b"a", b"b"))
+        commands = planner.plan(target, engine_report(), 0.0)
+        # The process is stopped between sending the chunks and reading the responses.
+        clock[0] = 4.0
+        for command in commands:
+            planner.on_staged(command.index, "")
+        restaged = planner.plan(target, engine_report(), 4.0)
+        assert [command.index for command in restaged] == [0, 1]
+
+    def test_an_order_is_not_sent_long_after_the_oldest_chunk_was_staged(self):
+        """Guards against an order that leaves a stopped process after staged chunks became corrupt."""
+        clock = [0.0]
+        planner = LoadPlanner(lambda: clock[0])
+        target = VersionState(2, tuple(b"%d" % n for n in range(5)))
+        for _ in range(2):
+            for command in planner.plan(target, engine_report(), clock[0]):
+                planner.on_staged(command.index, "")
+            clock[0] += 1.0
+        (order,) = planner.plan(target, engine_report(), 1.9)
+        assert order == OrderLoad(2, oldest_staged_at=0.0, send_deadline=2.5)
+
     def test_a_failed_chunk_is_staged_again_after_a_pause(self):
         """Guards against ordering a load while a chunk of the old version is still staged."""
         planner = LoadPlanner(lambda: 0.0)
@@ -162,6 +187,7 @@
         target = VersionState(2, (b"a",))
         for command in planner.plan(target, engine_report(), 0.0):
             planner.on_staged(command.index, "")
-        assert planner.plan(target, engine_report(), 0.0) == [OrderLoad(2)]
+        order = OrderLoad(2, oldest_staged_at=0.0, send_deadline=2.5)
+        assert planner.plan(target, engine_report(), 0.0) == [order]
         planner.on_order_ended(True)
         assert planner.plan(target, engine_report(), 0.4) == []
