Report a reset that a failed write has noticed as a reset

Cause: the failed write of the body consumed the error of the socket. Its failure was deferred to the next tick, and a read before that saw the end of the data without an error, which counts as an orderly close and ends a body without a length.

Change: Connection keeps the reason of its first failed write and reports the end of the data with it; buffered data is dropped at once; data that arrived before the failure is passed on before on_closed.

--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -29,6 +29,8 @@
 _MAX_READ_BYTES = 256 * 1024
 #: Reads per readable event, so that one busy peer cannot starve the others.
 _READS_PER_EVENT = 4
+#: Readable events handled for a connection that has failed; they cover the kernel's receive buffer.
+_MAX_FINAL_READS = 8
 #: Seconds that a finished connection waits for the peer to close, or to read more of the buffered
 #: data, before it is closed forcibly.
 _LINGER_S = 1.0
@@ -68,6 +70,8 @@
         #: Bytes that the peer had not acknowledged when a finished connection was last checked.
         self._last_pending = 0
         self._reading = True
+        #: Reason of the first failed write, empty before.
+        self._write_failure = ""
         #: Bytes passed to `write` that the kernel has not accepted yet.
         self.buffered = 0
         self.on_connected: Callable[[], None] = _no_op
@@ -89,12 +93,12 @@
 
     def write(self, data: bytes) -> None:
         """Sends what the kernel accepts immediately and buffers the rest."""
-        if self._sock is None or not data:
+        if self._sock is None or self._write_failure or not data:
             return
         view = memoryview(data)
         if not self._write_queue and not self._connecting:
             view = view[self._send(view) :]
-        if len(view) and self._sock is not None:
+        if len(view) and not self._write_failure:
             self._write_queue.append(view)
             self.buffered += len(view)
             self._owner.watch_writes(self._sock, True)
@@ -172,7 +176,9 @@
                 self.fail(exc.strerror or "read failed")
                 return
             if not data:
-                self.fail(PEER_CLOSED)
+                # The failed write has consumed the error of the socket, so a reset reads like an
+                # orderly close.
+                self.fail(self._write_failure or PEER_CLOSED)
                 return
             self._owner.bytes_in += len(data)
             self.on_data(data)
@@ -185,18 +191,30 @@
             return
         if self._connecting and not self._finish_connect():
             return
-        while self._write_queue and self._sock is not None:
+        while self._write_queue:
             view = self._write_queue[0]
             sent = self._send(view)
+            if self._write_failure:
+                return
             self.buffered -= sent
             if sent < len(view):
                 self._write_queue[0] = view[sent:]
                 return
             self._write_queue.popleft()
-        if self._sock is not None:
-            self._owner.watch_writes(self._sock, False)
-            if self._finishing:
-                self._shut_down_writes()
+        self._owner.watch_writes(self._sock, False)
+        if self._finishing:
+            self._shut_down_writes()
+
+    def fail_after_reading(self, reason: str) -> None:
+        """Passes on what has arrived, then closes and calls `on_closed`.
+
+        A peer may answer and reset the connection before it has read everything.
+        """
+        for _ in range(_MAX_FINAL_READS):
+            if self._sock is None or self._connecting or not self._reading:
+                break
+            self.handle_readable()
+        self.fail(reason)
 
     def fail(self, reason: str) -> None:
         """Closes the connection and calls `on_closed`."""
@@ -221,8 +239,12 @@
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError as exc:
+            self._write_failure = exc.strerror or "write failed"
+            self._write_queue.clear()
+            self.buffered = 0
+            self._owner.watch_writes(self._sock, False)
             # Deferred to the next tick, so that `write` never re-enters its caller via `on_closed`.
-            self._owner.fail_later(self, exc.strerror or "write failed")
+            self._owner.fail_later(self, self._write_failure)
             return 0
         self._owner.bytes_out += sent
         return sent
@@ -319,7 +341,7 @@
         """Performs deferred failures and the deferred closes that are due; called once per tick."""
         failed, self._deferred_failures = self._deferred_failures, []
         for conn, reason in failed:
-            conn.fail(reason)
+            conn.fail_after_reading(reason)
         while self._deferred_closes and self._deferred_closes[0][0] <= time.monotonic():
             self._deferred_closes.popleft()[1].end_linger()
 
--- a/tests/forwarding/test_upstreams.py
+++ b/tests/forwarding/test_upstreams.py
@@ -94,6 +94,27 @@
         assert result == ("failed", expected), name
 
 
+def test_response_that_is_reset_while_the_request_is_sent_fails_the_call():
+    """Guards against half of an answer to a long body that is delivered as whole (review/1)."""
+    upstream = RawUpstream()
+    listener = RecordingListener()
+    request = OutboundRequest(b"POST", b"/", [(b"Host", b"a.example")], bytes(16 << 20))
+    address = Address("127.0.0.1", upstream.port)
+    with running_loop(make_upstream_client) as (loop, client):
+
+        def call() -> None:
+            client.call("i-1", address, request, listener, matches_request, connect_timeout_s=2.0)
+
+        loop.call_at(0.0, call)
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        # The kernel resets a connection that is closed with unread data.
+        conn.close()
+        events = [listener.next_event(), listener.next_event()]
+        assert events == [("head", 200), ("failed", "broken")]
+
+
 def test_response_without_length_is_completed_by_a_close():
     """Guards against a complete response that counts as truncated."""
     upstream = RawUpstream()
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -99,6 +99,21 @@
         assert results.get(timeout=TIMEOUT_S).body == b"two"
 
 
+def test_response_that_is_reset_while_the_request_is_sent_fails_the_call():
+    """Guards against half of a response to a long body that counts as complete."""
+    upstream, results = RawUpstream(), queue.Queue()
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        body = bytes(16 << 20)
+        loop.call_at(0.0, lambda: client.call("PUT", server, "/", results.put, body=body))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        # The kernel resets a connection that is closed with unread data.
+        conn.close()
+        assert not results.get(timeout=TIMEOUT_S).ok
+
+
 @pytest.mark.parametrize("kept", range(0, 40, 3))
 def test_response_that_breaks_off_fails_the_call(kept):
     """Guards against a head or body that is cut off and counts as a complete response."""
