Keep a paused stream until another replica has taken it

What callers saw: LOST.

Cause: Transfer.tick cancelled a stream that had been silent for 1.2 s before it sent the next attempt. When that replica was full, no attempt was left and the answer was aborted. Requests that a replica holds back were moved in the same way.

Change: the silent attempt is kept and a successor is sent beside it, which continues after the last event passed on. The first of them to send the next event goes on and the others are cancelled. Successors count against max_upstreams and the retry budget as attempts did before.

Tests: three tests asserted that the first attempt is cancelled when the second is sent, which is the fault. They now assert that it is kept then, and cancelled when the second one responds; nothing else was taken out of them.

--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -217,6 +217,8 @@
             "client gone",
             "timeout",
             "refused",
+            "silent",
+            "superseded",
             "version",
             "stopping",
             "quarantined",
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -123,7 +123,11 @@
         )
         #: Unix seconds at which the client stops waiting.
         self._client_deadline = request.received_at + client_timeout_s
+        #: Attempt whose response is passed on, unless one of the successors starts to respond first.
         self._attempt: Attempt | None = None
+        #: Attempts sent while that one is silent or has not started. Each continues after the last
+        #: event passed on; the first to respond replaces the attempt, and the others are cancelled.
+        self._successors: list[Attempt] = []
         self._tried: list[str] = []
         #: Status, headers and body of a replica's error, forwarded if no later attempt succeeds.
         self._fallback_response: tuple[int, Headers, bytes] | None = None
@@ -162,7 +166,7 @@
 
     def stop(self) -> None:
         """Ends the request because the process stops, with an answer or a visibly cut stream."""
-        self._cancel_attempt("stopping")
+        self._cancel_all("stopping")
         self._fail(504, Reason.DRAINING)
 
     def tick(self, now: float) -> None:
@@ -170,47 +174,55 @@
         if not self.request.response.is_open:
             return
         if now >= self.deadline:
-            self._cancel_attempt("timeout")
+            self._cancel_all("timeout")
             self._fail(504, Reason.DEADLINE_PASSED)
             return
         self._check_start(now)
         if now >= self._stalls_at and self._attempt is not None:
             # Without a free replica the silent one is the best chance; it may only be slow.
-            if self._dispatch.choose(self.requirements()) is None:
-                self._stalls_at = now + STALL_RECHECK_S
-                return
-            self._stalls_at = float("inf")
-            if self._acquire_retry():
-                self._cancel_attempt("silent")
-                self._send("silent")
+            self._stalls_at = now + STALL_RECHECK_S
+            if self._try_add_successor():
+                self._report_slow(self._attempt)
+                self._stalls_at = now + STREAM_STALL_S
 
     def _check_start(self, now: float) -> None:
+        quarantined = self._dispatch.is_quarantined(self)
+        for successor in list(self._successors):
+            if quarantined:
+                self._cancel(successor, "quarantined")
+            elif not successor.status and self._must_not_start(successor, now):
+                self._cancel(successor, "version")
         attempt = self._attempt
         if attempt is None or attempt.status:
             return
-        if self._dispatch.is_quarantined(self):
-            self._cancel_attempt("quarantined")
+        if quarantined:
+            self._cancel(attempt, "quarantined")
             self._fail(503, Reason.QUARANTINED)
             return
-        # The head of any other response that must not be retried comes at its end, so whether the
-        # request has started is unknown.
-        cancellable = self.retryable or self.streaming
-        if cancellable and now >= self._dispatch.cancel_unstarted_at(self, attempt):
-            self._cancel_attempt("version")
-            self._retry_or_fail("version")
+        if self._must_not_start(attempt, now):
+            self._cancel(attempt, "version")
+            self._replace_or_fail("version")
             return
         if attempt.reported_slow:
             return
         if now - attempt.started_at < SLOW_START_S:
             return
-        attempt.reported_slow = True
-        self._dispatch.attempt_slow(self, attempt)
-        row = attempt.choice.row
-        overdue = row.is_overdue(self.allowed.rank, attempt.started_at)
+        self._report_slow(attempt)
         # The request would have to queue at a full replica as well, so it only moves to a free one.
-        if overdue and self._dispatch.choose(self.requirements()) and self._acquire_retry():
-            self._cancel_attempt("held back")
-            self._send("held back")
+        if attempt.choice.row.is_overdue(self.allowed.rank, attempt.started_at):
+            self._try_add_successor()
+
+    def _must_not_start(self, attempt: Attempt, now: float) -> bool:
+        """Returns whether an attempt would start on a version that is no longer allowed."""
+        # The head of any other response that must not be retried comes at its end, so whether the
+        # request has started is unknown.
+        cancellable = self.retryable or self.streaming
+        return cancellable and now >= self._dispatch.cancel_unstarted_at(self, attempt)
+
+    def _report_slow(self, attempt: Attempt) -> None:
+        if not attempt.reported_slow:
+            attempt.reported_slow = True
+            self._dispatch.attempt_slow(self, attempt)
 
     # Outcomes of attempts.
 
@@ -220,7 +232,9 @@
 
     def attempt_events(self, attempt: Attempt, events: list[StreamEvent]) -> None:
         """Forwards the events that the client has not received yet."""
-        if attempt is not self._attempt:
+        if attempt in self._successors and not self._is_taking_over(attempt, events):
+            return
+        if not self._take_over(attempt):
             return
         self._record_progress(attempt)
         data = bytearray()
@@ -229,8 +243,8 @@
                 if self._last_event_id is not None and event.id <= self._last_event_id:
                     continue
                 if self._resume_count and event.id != (self._last_event_id or 0) + 1:
-                    self._cancel_attempt("gap")
-                    self._retry_or_fail("gap in the resumed stream")
+                    self._cancel(attempt, "gap")
+                    self._replace_or_fail("gap in the resumed stream")
                     return
                 self._last_event_id = event.id
             data += event.data
@@ -240,10 +254,9 @@
 
     def attempt_completed(self, attempt: Attempt) -> None:
         """Handles a complete response of a replica."""
-        if attempt is not self._attempt:
+        if attempt is not self._attempt and attempt not in self._successors:
             return
         assert attempt.meta is not None
-        self._attempt = None
         if not attempt.identified:
             self._handle_unusable_response(attempt, "unidentified")
         elif attempt.meta.not_run:
@@ -266,28 +279,31 @@
             self._handle_unusable_response(attempt, f"status {attempt.status}")
         else:
             body = bytes(attempt.body)
+            self._take_over(attempt)
             self._end_attempt(attempt, "")
             self.may_have_run = True
             self._send_response(attempt.status, end_to_end(attempt.headers), body)
 
     def attempt_failed(self, attempt: Attempt, failure: CallFailure, detail: str) -> None:
         """Handles an attempt that ended without a complete response."""
-        if attempt is not self._attempt:
+        if attempt is not self._attempt and attempt not in self._successors:
             return
-        self._attempt = None
         self._end_attempt(attempt, f"{failure}: {detail}")
         if failure is CallFailure.NOT_CONNECTED:
             # Nothing reached the replica, so another attempt is not a retry.
             self._tried.remove(attempt.instance)
-            self._send(str(failure), avoid=attempt.instance)
+            if not self._still_waits():
+                self._send(str(failure), avoid=attempt.instance)
             return
         self.may_have_run = True
-        self._retry_or_fail(str(failure))
+        self._replace_or_fail(str(failure))
 
     def _handle_not_run(self, attempt: Attempt) -> None:
         assert attempt.meta is not None
         outcome = "misdirected" if attempt.meta.misdirected else "refused"
         self._end_attempt(attempt, outcome)
+        if self._still_waits():
+            return
         if self._has_attempts() and self._dispatch.try_spend_retry(self):
             self._send(outcome)
         else:
@@ -296,7 +312,7 @@
     def _handle_unusable_response(self, attempt: Attempt, outcome: str) -> None:
         self._end_attempt(attempt, outcome)
         self.may_have_run = True
-        self._retry_or_fail(outcome)
+        self._replace_or_fail(outcome)
 
     def _finish_stream(self, attempt: Attempt) -> None:
         if attempt.incomplete_event:
@@ -306,18 +322,74 @@
         if not attempt.event_count and not resumed_by_client:
             self._handle_unusable_response(attempt, "no events")
             return
+        self._take_over(attempt)
         self._end_attempt(attempt, "")
         self.may_have_run = True
         self._start_response(attempt)
         self.request.response.end()
         self._finish(attempt.status, "", None)
 
-    def _retry_or_fail(self, cause: str) -> None:
+    def _replace_or_fail(self, cause: str) -> None:
+        """Goes on with another attempt after one has ended, or fails the request."""
+        if self._still_waits():
+            return
         if self._acquire_retry():
             self._send(cause)
         else:
             self._fail(502, Reason.UPSTREAM_LOST)
 
+    # Successors.
+
+    def _try_add_successor(self) -> bool:
+        """Sends the request to a free replica as well, if there is one and a retry is allowed."""
+        choice = self._dispatch.choose(self.requirements())
+        if choice is None or not self._dispatch.may_send(self) or not self._acquire_retry():
+            return False
+        self._successors.append(self._start_attempt(choice))
+        return True
+
+    def _is_taking_over(self, attempt: Attempt, events: list[StreamEvent]) -> bool:
+        """Returns whether the events of a successor go on after those already passed on."""
+        last_id = self._last_event_id or 0
+        new_ids = [event.id for event in events if event.id is not None and event.id > last_id]
+        if self.request.response.started and new_ids and new_ids[0] != last_id + 1:
+            self._cancel(attempt, "gap")
+            return False
+        return bool(new_ids) or not self.request.response.started
+
+    def _take_over(self, attempt: Attempt) -> bool:
+        """Cancels all other attempts; returns False if this attempt has ended."""
+        if attempt in self._successors:
+            if self._attempt is not None:
+                self._cancel(self._attempt, "silent" if self._attempt.status else "held back")
+            self._successors.remove(attempt)
+            self._set_attempt(attempt)
+        elif attempt is not self._attempt:
+            return False
+        for successor in list(self._successors):
+            self._cancel(successor, "superseded")
+        return True
+
+    def _still_waits(self) -> bool:
+        """Returns whether another attempt is left after one has ended.
+
+        If the attempt itself has ended, its oldest successor takes its place. If a successor has ended,
+        a stalled stream may get another one.
+        """
+        if self._attempt is not None:
+            if self._stalls_at != float("inf"):
+                self._stalls_at = min(self._stalls_at, self._dispatch.now() + STALL_RECHECK_S)
+            return True
+        if not self._successors:
+            return False
+        self._set_attempt(self._successors.pop(0))
+        return True
+
+    def _set_attempt(self, attempt: Attempt) -> None:
+        self._attempt = attempt
+        if self.request.response.started:
+            self._resume_count += 1
+
     # Sending.
 
     def _has_attempts(self) -> bool:
@@ -347,15 +419,17 @@
         if not self._dispatch.may_send(self):
             self._fail(503, Reason.QUARANTINED)
             return
+        self._set_attempt(self._start_attempt(choice))
+        if self.request.response.started:
+            self._stalls_at = self._dispatch.now() + STREAM_STALL_S
+
+    def _start_attempt(self, choice: Choice) -> Attempt:
         now = self._dispatch.now()
         attempt = Attempt(self, choice, self.streaming, now, self._dispatch.response_buffers)
-        self._attempt = attempt
         self._tried.append(choice.row.instance)
-        if self.request.response.started:
-            self._resume_count += 1
-            self._stalls_at = now + STREAM_STALL_S
         max_idle_s = float("inf") if self.retryable else NON_RETRYABLE_MAX_IDLE_S
         attempt.call = self._dispatch.send(self, attempt, self._outbound(choice, now), max_idle_s)
+        return attempt
 
     def _outbound(self, choice: Choice, now: float) -> OutboundRequest:
         forwarded = ForwardedMeta(
@@ -378,15 +452,22 @@
         """Returns whether a response head belongs to this request."""
         return is_response_to(self.meta.request_id, headers)
 
-    def _cancel_attempt(self, outcome: str) -> None:
-        attempt, self._attempt = self._attempt, None
-        if attempt is None or attempt.call is None:
-            return
+    def _cancel(self, attempt: Attempt, outcome: str) -> None:
+        assert attempt.call is not None
         self.may_have_run = self.may_have_run or attempt.sent
         self._dispatch.cancel(attempt.call)
         self._end_attempt(attempt, outcome)
 
+    def _cancel_all(self, outcome: str) -> None:
+        for attempt in [self._attempt, *self._successors]:
+            if attempt is not None:
+                self._cancel(attempt, outcome)
+
     def _end_attempt(self, attempt: Attempt, outcome: str) -> None:
+        if attempt is self._attempt:
+            self._attempt = None
+        elif attempt in self._successors:
+            self._successors.remove(attempt)
         attempt.release()
         self._dispatch.attempt_ended(self, attempt, outcome)
 
@@ -438,7 +519,7 @@
         self._dispatch.transfer_ended(self, status, str(reason), ran)
 
     def _on_client_gone(self) -> None:
-        self._cancel_attempt("client gone")
+        self._cancel_all("client gone")
         self._finish(
             499,
             Reason.CANCELLED,
--- a/tests/gateway/test_transfer.py
+++ b/tests/gateway/test_transfer.py
@@ -199,8 +199,15 @@
         harness.advance(1.0)
         assert len(harness.calls) == 1
         harness.advance(0.3)
-        assert harness.calls[0].cancelled
         assert dict(harness.calls[1].request.headers)[b"Last-Event-Id"] == b"1"
+        assert not harness.calls[0].cancelled
+        harness.calls[1].send_events(event(2))
+        assert harness.calls[0].cancelled
+        harness.calls[0].send_events(event(2))
+        harness.calls[1].send_events(event(3))
+        harness.calls[1].attempt.on_end()
+        assert harness.client.body == event(1) + event(2) + event(3)
+        assert harness.client.end == "ended"
 
     def test_stalled_stream_is_kept_while_no_replica_is_free(self):
         """Guards against streams that are cut off although their replica is only slow."""
@@ -210,10 +217,96 @@
         assert not harness.calls[0].cancelled
         harness.rows.append(make_row("u2"))
         harness.advance(0.1)
-        assert not harness.calls[0].cancelled
+        assert len(harness.calls) == 1
         harness.advance(0.2)
-        assert harness.calls[0].cancelled
         assert dict(harness.calls[1].request.headers)[b"Last-Event-Id"] == b"1"
+        harness.calls[1].send_events(event(2))
+        assert harness.calls[0].cancelled
+
+    @pytest.mark.parametrize(
+        ("name", "act"),
+        [
+            ("refused", lambda call: call.respond(503, headers=(NOT_RUN,))),
+            ("misdirected", lambda call: call.respond(421, headers=(NOT_RUN,))),
+            ("failed", lambda call: call.respond(500)),
+            ("connection lost", lambda call: call.attempt.on_failed(CallFailure.BROKEN, "reset")),
+            ("not connected", lambda call: call.attempt.on_failed(CallFailure.NOT_CONNECTED, "")),
+            ("no events", lambda call: call.respond(200)),
+            ("a gap", lambda call: call.send_events(event(3))),
+            ("the same events again", lambda call: call.send_events(event(1))),
+            ("silent", lambda call: None),
+        ],
+    )
+    def test_paused_stream_goes_on_if_no_other_replica_takes_it(self, name, act):
+        """Guards against streams that are given up for a replica that is full (review/5)."""
+        harness = self.harness(upstreams=2)
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        act(harness.calls[1])
+        harness.advance(0.7)
+        assert not harness.calls[0].cancelled, name
+        harness.calls[0].send_events(event(2))
+        harness.calls[0].attempt.on_end()
+        assert harness.client.body == event(1) + event(2), name
+        assert harness.client.end == "ended"
+        assert len(harness.outcomes) == len(harness.calls)
+
+    def test_successor_is_cancelled_when_a_paused_stream_goes_on(self):
+        """Guards against pieces of two runs in one stream, and against runs in vain."""
+        harness = self.harness()
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        harness.calls[0].send_events(event(2))
+        assert harness.calls[1].cancelled
+        harness.calls[1].send_events(event(2, "other"))
+        assert harness.client.body == event(1) + event(2)
+
+    def test_successor_goes_on_alone_when_a_silent_stream_breaks(self):
+        """Guards against a stream that is cut while another replica has taken it."""
+        harness = self.harness(upstreams=2)
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        harness.calls[0].attempt.on_failed(CallFailure.BROKEN, "reset")
+        assert harness.client.end == "" and len(harness.calls) == 2
+        harness.calls[1].send_events(event(2))
+        harness.calls[1].attempt.on_end()
+        assert (harness.client.body, harness.client.end) == (event(1) + event(2), "ended")
+
+    @pytest.mark.parametrize("ending", ["deadline", "client gone", "stop"])
+    def test_all_attempts_are_cancelled_at_the_end(self, ending):
+        """Guards against replicas that work for a request that has ended."""
+        harness = self.harness()
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        if ending == "deadline":
+            harness.advance(10.0)
+        elif ending == "client gone":
+            harness.client.on_disconnect()
+        else:
+            harness.transfer.stop()
+        assert [call.cancelled for call in harness.calls] == [True, True]
+        assert len(harness.results) == 1 and len(harness.outcomes) == 2
+
+    def test_successor_does_not_start_on_an_expired_version(self):
+        """Guards against a resumed stream that begins on a version that is no longer allowed."""
+        harness = self.harness()
+        harness.calls[0].send_events(event(1))
+        harness.advance(1.3)
+        harness.cancel_at = harness.time
+        harness.advance(0.1)
+        assert [call.cancelled for call in harness.calls] == [False, True]
+        harness.calls[0].send_events(event(2))
+        assert harness.client.body == event(1) + event(2)
+
+    def test_sent_to_two_replicas_is_not_refused_as_not_run(self):
+        """Guards against a 503 for a request that one of two replicas may have run."""
+        harness = TransferHarness(RetryPolicy.STREAM, resumable=True, upstreams=2)
+        harness.rows[0].unstarted["other"] = harness.time - 2.0
+        harness.rows[0].record_start("other", 0, harness.time - 1.0)
+        harness.advance(1.6)
+        harness.calls[0].attempt.on_failed(CallFailure.BROKEN, "reset")
+        harness.calls[1].respond(503, headers=(NOT_RUN,))
+        assert harness.client.status == 502
 
     def test_broken_stream_that_is_not_resumable_is_aborted(self):
         """Guards against a second run of a stream that must not be retried."""
@@ -263,10 +356,11 @@
             row.unstarted["other"] = harness.time + sent_s
             row.record_start("other", rank, harness.time + started_s)
         harness.advance(1.6)
-        assert harness.calls[0].cancelled is moves, name
-        assert len(harness.calls) == 1 + moves
+        assert len(harness.calls) == 1 + moves, name
+        assert not harness.calls[0].cancelled
         if moves:
             harness.calls[1].send_events(event(1))
+            assert harness.calls[0].cancelled
             assert harness.client.body == event(1)
 
     def test_stays_when_no_other_replica_has_capacity(self):
