Read every staged chunk back before the load is ordered

Cause (one of three found): a response on a kept connection was taken for the one to the latest call. After an engine had answered one call twice, the last chunks of a version counted as staged before the engine had them, and the order on another connection could come first.

Change: LoadPlanner plans a verification of each staged chunk; the daemon reads the chunk back and compares its digest. The load is ordered when all verifications succeeded and none started over 2 s ago. The tests of the planner are rewritten for the added step; each failure that one of them guarded against is still guarded against.

--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -3,7 +3,7 @@
 from fescuechute.stager._chunk_transfer import ChunkLocation, ChunkTransfer, sha256
 from fescuechute.stager._crash_relay import CrashRelay
 from fescuechute.stager._daemon import StagerDaemon
-from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
+from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk, VerifyChunk
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
@@ -20,6 +20,7 @@
     "Recovery",
     "StageChunk",
     "StagerDaemon",
+    "VerifyChunk",
     "VersionPlan",
     "VersionState",
     "sha256",
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -25,9 +25,14 @@
     decode_registration,
 )
 from fescuechute.runtime import Process
-from fescuechute.stager._chunk_transfer import USABLE_LINK_SHARE, ChunkLocation, ChunkTransfer
+from fescuechute.stager._chunk_transfer import (
+    USABLE_LINK_SHARE,
+    ChunkLocation,
+    ChunkTransfer,
+    sha256,
+)
 from fescuechute.stager._crash_relay import CrashRelay
-from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk
+from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk, VerifyChunk
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
@@ -212,6 +217,8 @@
         for command in self.load_planner.plan(target, self._report, now):
             if isinstance(command, StageChunk):
                 self._stage_chunk(command)
+            elif isinstance(command, VerifyChunk):
+                self._verify_chunk(command)
             else:
                 self._order_load(command)
 
@@ -230,9 +237,22 @@
         self.load_planner.on_staged(index, error)
         self._stage_and_load(self.clock.now())
 
+    def _verify_chunk(self, command: VerifyChunk) -> None:
+        index = command.index
+
+        def on_read(data: bytes | None) -> None:
+            matches = data is not None and sha256(data) == command.digest
+            if not matches:
+                reason = "missing" if data is None else "wrong digest"
+                self.telemetry.event("stage.mismatch", index=index, reason=reason)
+            self.load_planner.on_verified(index, matches)
+            self._stage_and_load(self.clock.now())
+
+        self.engine.fetch_staged_chunk(self.model, index, on_read)
+
     def _order_load(self, command: OrderLoad) -> None:
         version = command.version
-        oldest_s = round(self.clock.now() - command.oldest_staged_at, 3)
+        oldest_s = round(self.clock.now() - command.oldest_verified_at, 3)
 
         def on_outcome(outcome: LoadOrderOutcome, detail: str) -> None:
             self.telemetry.event(
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -9,16 +9,19 @@
 from fescuechute.catalog import EngineReport
 from fescuechute.stager._versions import VersionState
 
-#: Chunks that are staged at the same time.
+#: Chunks that are staged, or read back, at the same time.
 MAX_PARALLEL_STAGES = 4
-#: Age in seconds from which on a staged chunk is staged again before the order: staged bytes may
+#: Age in seconds from which on a verified chunk is read back again before the order: staged bytes may
 #: become corrupt at the engine, which loads them without verification.
-RESTAGE_AFTER_S = 2.0
-#: Age in seconds of the oldest staged chunk from which on an order is not sent any more. An engine
+REVERIFY_AFTER_S = 2.0
+#: Age in seconds of the oldest verification from which on an order is not sent any more. An engine
 #: may load a chunk that has been corrupt for 3 s; the difference is left for the way of the order.
 MAX_AGE_AT_ORDER_S = 2.5
 #: Seconds to wait after a staging or an order that failed.
 FAILURE_PAUSE_S = 0.3
+#: Seconds to wait after a chunk that was read back had another digest; an engine that never keeps a
+#: chunk must not be called without pause.
+MISMATCH_PAUSE_S = 0.05
 #: Seconds to wait after an order that was or may have been accepted; the engine's report then shows
 #: whether it took effect.
 ORDER_SETTLE_S = 0.5
@@ -33,24 +36,39 @@
     digest: bytes
 
 
+@attrs.frozen
+class VerifyChunk:
+    """Read a staged chunk back from the engine and compare its digest."""
+
+    index: int
+    digest: bytes
+
+
 @attrs.frozen
 class OrderLoad:
     """Order the engine to load the staged chunks.
 
     Attributes:
       version: Version of all staged chunks.
-      oldest_staged_at: Unix seconds at which the staging of the oldest chunk started.
+      oldest_verified_at: Unix seconds at which the oldest verification of a chunk started.
       send_deadline: Unix seconds after which the order must not be sent.
     """
 
     version: int
-    oldest_staged_at: float
+    oldest_verified_at: float
     send_deadline: float
 
 
+PlannedCommand = StageChunk | VerifyChunk | OrderLoad
+
+
 class LoadPlanner:
     """Decides which chunks to stage and when to order the load; the daemon executes both.
 
+    Every staged chunk is read back before the order. A success of the call that staged it does not prove
+    that the engine holds it: the response may belong to an earlier call on the connection, and an
+    earlier call that failed may be carried out later.
+
     Args:
       now: Returns unix seconds.
     """
@@ -58,17 +76,19 @@
     def __init__(self, now: Callable[[], float]):
         self._now = now
         self._version = 0
-        #: Unix seconds at which the staging of each staged chunk started. The engine holds the bytes
-        #: from then on at the earliest; the response may be read seconds after it was sent.
-        self._staged_at: dict[int, float] = {}
-        #: The same of the chunks that are being staged.
+        #: Indexes of the chunks whose staging the engine has confirmed.
+        self._staged: set[int] = set()
+        #: Unix seconds at which the latest successful verification of each chunk started. The response
+        #: shows what the engine held since then, and may be read seconds after it was sent.
+        self._verified_at: dict[int, float] = {}
+        #: Unix seconds at which the staging or verification in flight of a chunk started.
         self._in_flight: dict[int, float] = {}
         self._order_in_flight = False
         self._paused_until = 0.0
 
     def plan(
         self, target: VersionState | None, report: EngineReport | None, now: float
-    ) -> list[StageChunk | OrderLoad]:
+    ) -> list[PlannedCommand]:
         """Returns the commands that are due.
 
         Args:
@@ -84,35 +104,54 @@
             if self._in_flight:
                 return []
             self._version = target.version
-            self._staged_at.clear()
-        due = [
+            self._discard_staged()
+        unstaged = [index for index in range(len(target.digests)) if index not in self._staged]
+        unverified = [
             index
-            for index in range(len(target.digests))
-            if now - self._staged_at.get(index, float("-inf")) >= RESTAGE_AFTER_S
-            and index not in self._in_flight
+            for index in sorted(self._staged)
+            if now - self._verified_at.get(index, float("-inf")) >= REVERIFY_AFTER_S
         ]
+        due = [index for index in unstaged + unverified if index not in self._in_flight]
         if not due and not self._in_flight:
             self._order_in_flight = True
-            oldest = min(self._staged_at.values())
+            oldest = min(self._verified_at.values())
             return [OrderLoad(target.version, oldest, oldest + MAX_AGE_AT_ORDER_S)]
         free_slots = MAX_PARALLEL_STAGES - len(self._in_flight)
-        commands: list[StageChunk | OrderLoad] = []
+        commands: list[PlannedCommand] = []
         for index in due[:free_slots]:
             self._in_flight[index] = now
-            commands.append(StageChunk(target.version, index, target.digests[index]))
+            digest = target.digests[index]
+            if index in self._staged:
+                commands.append(VerifyChunk(index, digest))
+            else:
+                commands.append(StageChunk(target.version, index, digest))
         return commands
 
     def on_staged(self, index: int, error: str) -> None:
         """Records the result of staging a chunk; an empty `error` means success."""
-        started_at = self._in_flight.pop(index)
+        del self._in_flight[index]
         if error:
             self._paused_until = self._now() + FAILURE_PAUSE_S
         else:
-            self._staged_at[index] = started_at
+            self._staged.add(index)
+
+    def on_verified(self, index: int, matches: bool) -> None:
+        """Records whether a chunk that was read back has its digest; otherwise it is staged again."""
+        started_at = self._in_flight.pop(index)
+        if matches:
+            self._verified_at[index] = started_at
+        else:
+            self._staged.discard(index)
+            self._verified_at.pop(index, None)
+            self._paused_until = max(self._paused_until, self._now() + MISMATCH_PAUSE_S)
 
     def on_order_ended(self, accepted: bool) -> None:
         """Records the result of an order; `accepted` is also set when the result is unknown."""
         self._order_in_flight = False
         # Until a report shows the effect, the engine would at best refuse another order.
         self._paused_until = self._now() + (ORDER_SETTLE_S if accepted else FAILURE_PAUSE_S)
-        self._staged_at.clear()
+        self._discard_staged()
+
+    def _discard_staged(self) -> None:
+        self._staged.clear()
+        self._verified_at.clear()
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -6,7 +6,14 @@
 import pytest
 
 from fescuechute.catalog import EngineReport
-from fescuechute.stager import LoadPlanner, OrderLoad, StageChunk, VersionPlan, VersionState
+from fescuechute.stager import (
+    LoadPlanner,
+    OrderLoad,
+    StageChunk,
+    VerifyChunk,
+    VersionPlan,
+    VersionState,
+)
 
 CHUNKS_1, CHUNKS_2, CHUNKS_3 = (b"1a", b"1b"), (b"2a", b"2b"), (b"3a", b"3b")
 
@@ -104,90 +111,104 @@
 
 
 class TestLoadPlanner:
-    """Staging of chunks and the order to load them."""
+    """Staging and verification of chunks, and the order to load them."""
 
-    def execute_plan(self, planner, target, now, fail=()):
-        """Plans once, completes the staging commands and returns all commands."""
-        executed = []
-        for command in planner.plan(target, engine_report(), now):
-            executed.append(command)
+    def make(self, chunks=2):
+        """Returns a clock, a planner and a target of this many chunks."""
+        clock = [0.0]
+        return (
+            clock,
+            LoadPlanner(lambda: clock[0]),
+            VersionState(2, tuple(map(str.encode, "abcdefghij"[:chunks]))),
+        )
+
+    def execute(self, planner, commands, fail=(), wrong=()):
+        """Completes the commands; those with these indexes fail, or read back another digest."""
+        for command in commands:
             if isinstance(command, StageChunk):
                 planner.on_staged(command.index, "no space" if command.index in fail else "")
-        return executed
+            elif isinstance(command, VerifyChunk):
+                planner.on_verified(command.index, command.index not in wrong)
+
+    def until_order(self, planner, target, clock):
+        """Executes the plans until the load is ordered; returns all commands, the order last."""
+        commands = []
+        while not (commands and isinstance(commands[-1], OrderLoad)):
+            planned = planner.plan(target, engine_report(), clock[0])
+            self.execute(planner, planned)
+            commands += planned
+            assert planned and len(commands) < 100
+        return commands
 
     def test_load_is_ordered_once_all_chunks_are_staged(self):
         """Guards against an engine that loads a mix of old and new chunks."""
-        planner = LoadPlanner(lambda: 0.0)
-        target = VersionState(2, tuple(b"%d" % n for n in range(10)))
-        commands = []
-        while not any(isinstance(command, OrderLoad) for command in commands):
-            commands += self.execute_plan(planner, target, 0.0) or [None]
-            assert len(commands) < 50
-        staged = [command.index for command in commands if isinstance(command, StageChunk)]
-        assert sorted(staged) == list(range(10))
+        clock, planner, target = self.make(chunks=10)
+        commands = self.until_order(planner, target, clock)
+        for kind in StageChunk, VerifyChunk:
+            indexes = [command.index for command in commands if isinstance(command, kind)]
+            assert sorted(indexes) == list(range(10)), kind
         assert planner.plan(target, engine_report(), 0.0) == [], (
             "a second order while one is in flight"
         )
 
-    def test_chunks_staged_long_ago_are_staged_again(self):
-        """Guards against loading chunks that became corrupt after they were staged."""
-        clock = [0.0]
-        planner = LoadPlanner(lambda: clock[0])
-        target = VersionState(2, (b"a", b"b"))
-        for command in planner.plan(target, engine_report(), 0.0):
-            planner.on_staged(command.index, "")
+    def test_chunk_with_another_digest_is_staged_again(self):
+        """Guards against loading a chunk whose staging was confirmed but not carried out."""
+        clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
+        verifications = planner.plan(target, engine_report(), 0.0)
+        assert verifications == [VerifyChunk(0, b"a"), VerifyChunk(1, b"b")]
+        self.execute(planner, verifications, wrong=(1,))
+        assert planner.plan(target, engine_report(), 0.0) == []
+        clock[0] = 0.1
+        commands = self.until_order(planner, target, clock)
+        assert commands[:2] == [StageChunk(2, 1, b"b"), VerifyChunk(1, b"b")]
+
+    def test_chunks_verified_long_ago_are_verified_again(self):
+        """Guards against loading chunks that became corrupt after they were verified."""
+        clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
         clock[0] = 3.0
-        restaged = planner.plan(target, engine_report(), 3.0)
-        assert [command.index for command in restaged] == [0, 1]
-
-    def test_the_age_of_a_chunk_counts_from_the_start_of_its_staging(self):
-        """Guards against loading chunks that became corrupt while the stager was stopped."""
-        clock = [0.0]
-        planner = LoadPlanner(lambda: clock[0])
-        target = VersionState(2, (b"a", b"b"))
-        commands = planner.plan(target, engine_report(), 0.0)
-        # The process is stopped between sending the chunks and reading the responses.
+        again = planner.plan(target, engine_report(), 3.0)
+        assert again == [VerifyChunk(0, b"a"), VerifyChunk(1, b"b")]
+
+    def test_the_age_of_a_verification_counts_from_its_start(self):
+        """Guards against loading chunks that became corrupt while the stager was stopped (review/3)."""
+        clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
+        verifications = planner.plan(target, engine_report(), 0.0)
+        # The process is stopped between sending the requests and reading the responses.
         clock[0] = 4.0
-        for command in commands:
-            planner.on_staged(command.index, "")
-        restaged = planner.plan(target, engine_report(), 4.0)
-        assert [command.index for command in restaged] == [0, 1]
+        self.execute(planner, verifications)
+        assert planner.plan(target, engine_report(), 4.0) == verifications
 
-    def test_an_order_is_not_sent_long_after_the_oldest_chunk_was_staged(self):
+    def test_an_order_is_not_sent_long_after_the_oldest_verification(self):
         """Guards against an order that leaves a stopped process after staged chunks became corrupt."""
-        clock = [0.0]
-        planner = LoadPlanner(lambda: clock[0])
-        target = VersionState(2, tuple(b"%d" % n for n in range(5)))
-        for _ in range(2):
-            for command in planner.plan(target, engine_report(), clock[0]):
-                planner.on_staged(command.index, "")
-            clock[0] += 1.0
-        (order,) = planner.plan(target, engine_report(), 1.9)
-        assert order == OrderLoad(2, oldest_staged_at=0.0, send_deadline=2.5)
+        clock, planner, target = self.make(chunks=5)
+        for now in (0.0, 0.0, 1.0):
+            clock[0] = now
+            self.execute(planner, planner.plan(target, engine_report(), now))
+        (order,) = planner.plan(target, engine_report(), 1.95)
+        assert order == OrderLoad(2, oldest_verified_at=0.0, send_deadline=2.5)
 
     def test_a_failed_chunk_is_staged_again_after_a_pause(self):
         """Guards against ordering a load while a chunk of the old version is still staged."""
-        planner = LoadPlanner(lambda: 0.0)
-        target = VersionState(2, (b"a", b"b"))
-        self.execute_plan(planner, target, 0.0, fail=(1,))
+        clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0), fail=(1,))
         assert planner.plan(target, engine_report(), 0.1) == []
-        assert [command.index for command in planner.plan(target, engine_report(), 0.5)] == [1]
+        clock[0] = 0.5
+        assert planner.plan(target, engine_report(), 0.5)[0] == StageChunk(2, 1, b"b")
 
     def test_nothing_is_planned_without_a_target_or_an_idle_engine(self):
         """Guards against replacing staged chunks while the engine loads them."""
-        planner = LoadPlanner(lambda: 0.0)
-        target = VersionState(2, (b"a",))
+        _clock, planner, target = self.make()
         assert planner.plan(target, engine_report(loading=True), 0.0) == []
         assert planner.plan(target, None, 0.0) == []
         assert planner.plan(None, engine_report(), 0.0) == []
 
     def test_no_second_order_before_a_report_can_show_the_first(self):
         """Guards against two orders for one load."""
-        planner = LoadPlanner(lambda: 0.0)
-        target = VersionState(2, (b"a",))
-        for command in planner.plan(target, engine_report(), 0.0):
-            planner.on_staged(command.index, "")
-        order = OrderLoad(2, oldest_staged_at=0.0, send_deadline=2.5)
-        assert planner.plan(target, engine_report(), 0.0) == [order]
+        clock, planner, target = self.make()
+        assert self.until_order(planner, target, clock)[-1] == OrderLoad(2, 0.0, 2.5)
         planner.on_order_ended(True)
         assert planner.plan(target, engine_report(), 0.4) == []
