Void staged chunks when the engine restarts, and name its orders in an order

Cause: LoadPlanner kept its knowledge of staged chunks over a restart of the engine. An engine that had lost its staged chunks with its power was ordered to load them.

Change: a report with another start time voids staged and verified chunks and the calls in flight. An order carries the number of orders that the engine has accepted, as its precondition; an engine that restarted after its last report refuses it.

--- a/fescuechute/catalog/_types.py
+++ b/fescuechute/catalog/_types.py
@@ -202,8 +202,8 @@
     models: tuple[LoadedModel, ...]
     #: Whether the engine is executing an order.
     loading: bool
-    #: Number of orders accepted since the start of the engine.
-    orders: int
+    #: Number of orders accepted since the start of the engine, None if unknown.
+    orders: int | None
     #: Number of queued and of running requests.
     waiting: int
     running: int
--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -69,6 +69,7 @@
         version: int,
         on_end: Callable[[LoadOrderOutcome, str], None],
         *,
+        expected_orders: int | None,
         send_deadline: float,
     ) -> None:
         """Orders the engine to load the staged version after its active requests have finished.
@@ -77,9 +78,13 @@
           model: Name of the model.
           version: The version.
           on_end: Called with the outcome and a text for the log.
+          expected_orders: Number of orders that the engine must have accepted before, or None.
           send_deadline: Unix seconds after which the order is not sent any more.
         """
-        body = {"operation": "start", "model": model, "version": version, "switch_mode": "queue"}
+        body: dict[str, object] = {"operation": "start", "model": model, "version": version}
+        body["switch_mode"] = "queue"
+        if expected_orders is not None:
+            body["precondition"] = expected_orders
 
         def on_result(result: HttpResult) -> None:
             on_end(*_classify_order_result(result))
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -233,7 +233,7 @@
     return EngineReport(
         models=_parse_models(body),
         loading=bool(body.get("busy", False)),
-        orders=_integer(body.get("sequence", 0)),
+        orders=_integer(body["sequence"]) if "sequence" in body else None,
         waiting=_integer(body.get("queued", 0)),
         running=_integer(body.get("active", 0)),
         kv_used_tokens=_integer(body.get("kv_used", 0)),
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -270,7 +270,13 @@
             )
             self.load_planner.on_order_ended(accepted)
 
-        self.engine.order_load(self.model, version, on_outcome, send_deadline=command.send_deadline)
+        self.engine.order_load(
+            self.model,
+            version,
+            on_outcome,
+            expected_orders=command.expected_orders,
+            send_deadline=command.send_deadline,
+        )
 
     def _log_progress(self, now: float) -> None:
         missing = self.transfer.ring.missing
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -50,11 +50,14 @@
 
     Attributes:
       version: Version of all staged chunks.
+      expected_orders: Number of orders that the engine has accepted, None if it does not report it.
+        An engine that has accepted another one or has restarted must refuse this one.
       oldest_verified_at: Unix seconds at which the oldest verification of a chunk started.
       send_deadline: Unix seconds after which the order must not be sent.
     """
 
     version: int
+    expected_orders: int | None
     oldest_verified_at: float
     send_deadline: float
 
@@ -85,6 +88,10 @@
         self._in_flight: dict[int, float] = {}
         self._order_in_flight = False
         self._paused_until = 0.0
+        #: Start time of the engine that holds the staged chunks, in unix milliseconds.
+        self._engine_born_ms = 0
+        #: Unix seconds since which this start of the engine is known.
+        self._engine_known_since = float("-inf")
 
     def plan(
         self, target: VersionState | None, report: EngineReport | None, now: float
@@ -98,6 +105,10 @@
         """
         if target is None or target.digests is None or report is None or report.loading:
             return []
+        if report.born_ms != self._engine_born_ms:
+            # A restarted engine may have lost what was staged.
+            self._engine_born_ms, self._engine_known_since = report.born_ms, now
+            self._discard_staged()
         if self._order_in_flight or now < self._paused_until:
             return []
         if target.version != self._version:
@@ -115,7 +126,7 @@
         if not due and not self._in_flight:
             self._order_in_flight = True
             oldest = min(self._verified_at.values())
-            return [OrderLoad(target.version, oldest, oldest + MAX_AGE_AT_ORDER_S)]
+            return [OrderLoad(target.version, report.orders, oldest, oldest + MAX_AGE_AT_ORDER_S)]
         free_slots = MAX_PARALLEL_STAGES - len(self._in_flight)
         commands: list[PlannedCommand] = []
         for index in due[:free_slots]:
@@ -138,6 +149,8 @@
     def on_verified(self, index: int, matches: bool) -> None:
         """Records whether a chunk that was read back has its digest; otherwise it is staged again."""
         started_at = self._in_flight.pop(index)
+        if started_at < self._engine_known_since:
+            return
         if matches:
             self._verified_at[index] = started_at
         else:
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -27,8 +27,8 @@
     return versions
 
 
-def engine_report(loading=False) -> EngineReport:
-    return EngineReport((), loading, 0, 0, 0, 0, 0, 1.0, 5)
+def engine_report(loading=False, orders=0, born_ms=5) -> EngineReport:
+    return EngineReport((), loading, orders, 0, 0, 0, 0, 1.0, born_ms)
 
 
 class TestVersionPlan:
@@ -189,7 +189,7 @@
             clock[0] = now
             self.execute(planner, planner.plan(target, engine_report(), now))
         (order,) = planner.plan(target, engine_report(), 1.95)
-        assert order == OrderLoad(2, oldest_verified_at=0.0, send_deadline=2.5)
+        assert order == OrderLoad(2, 0, oldest_verified_at=0.0, send_deadline=2.5)
 
     def test_a_failed_chunk_is_staged_again_after_a_pause(self):
         """Guards against ordering a load while a chunk of the old version is still staged."""
@@ -209,6 +209,28 @@
     def test_no_second_order_before_a_report_can_show_the_first(self):
         """Guards against two orders for one load."""
         clock, planner, target = self.make()
-        assert self.until_order(planner, target, clock)[-1] == OrderLoad(2, 0.0, 2.5)
+        assert self.until_order(planner, target, clock)[-1] == OrderLoad(2, 0, 0.0, 2.5)
         planner.on_order_ended(True)
         assert planner.plan(target, engine_report(), 0.4) == []
+
+    def test_chunks_are_staged_again_at_a_restarted_engine(self):
+        """Guards against an order to load chunks that were lost with the power of the engine."""
+        _clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
+        verifications = planner.plan(target, engine_report(), 0.0)
+        restarted = engine_report(born_ms=6)
+        assert planner.plan(target, restarted, 0.1) == []
+        self.execute(planner, verifications)
+        assert planner.plan(target, restarted, 0.1) == [
+            StageChunk(2, 0, b"a"),
+            StageChunk(2, 1, b"b"),
+        ]
+
+    @pytest.mark.parametrize("orders", [0, 7, None])
+    def test_order_names_the_orders_that_the_engine_has_accepted(self, orders):
+        """Guards against an order that reaches an engine that restarted after its last report."""
+        _clock, planner, target = self.make()
+        report = engine_report(orders=orders)
+        for _ in range(2):
+            self.execute(planner, planner.plan(target, report, 0.0))
+        assert planner.plan(target, report, 0.0) == [OrderLoad(2, orders, 0.0, 2.5)]
