Settle calls without a response before another version is loaded

Cause: the stager gave up a call after 1 s without a response and went on with the next version. An engine that carried the old call out later put a chunk of the old version in the place of a new one, also after it had been read back; an order carried out late would have taken effect in the middle of the next staging.

Five of the new tests of the planner show the orders of events.

Change: a chunk whose staging for another version got no response is verified 3 s later at the earliest. After an order without a response the stager stays at its version until the engine has accepted an order, refused the repeated one or restarted.

--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -3,7 +3,13 @@
 from fescuechute.stager._chunk_transfer import ChunkLocation, ChunkTransfer, sha256
 from fescuechute.stager._crash_relay import CrashRelay
 from fescuechute.stager._daemon import StagerDaemon
-from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk, VerifyChunk
+from fescuechute.stager._load_planner import (
+    LoadPlanner,
+    OrderLoad,
+    OrderResult,
+    StageChunk,
+    VerifyChunk,
+)
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
@@ -17,6 +23,7 @@
     "LoadReporter",
     "ManifestExchange",
     "OrderLoad",
+    "OrderResult",
     "Recovery",
     "StageChunk",
     "StagerDaemon",
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -32,7 +32,13 @@
     sha256,
 )
 from fescuechute.stager._crash_relay import CrashRelay
-from fescuechute.stager._load_planner import LoadPlanner, OrderLoad, StageChunk, VerifyChunk
+from fescuechute.stager._load_planner import (
+    LoadPlanner,
+    OrderLoad,
+    OrderResult,
+    StageChunk,
+    VerifyChunk,
+)
 from fescuechute.stager._load_reporter import LoadReporter
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
@@ -75,6 +81,14 @@
 #: Seconds for which a stopping stager keeps serving chunks to its peers.
 SHUTDOWN_GRACE_S = 0.3
 
+_ORDER_RESULTS = {
+    LoadOrderOutcome.STARTED: OrderResult.ACCEPTED,
+    LoadOrderOutcome.DONE: OrderResult.ACCEPTED,
+    LoadOrderOutcome.CONFLICT: OrderResult.REFUSED,
+    LoadOrderOutcome.REFUSED: OrderResult.FAILED,
+    LoadOrderOutcome.UNKNOWN: OrderResult.UNKNOWN,
+}
+
 
 class StagerDaemon(Process):
     """Stages and loads the declared weights of one engine on the same VM.
@@ -263,12 +277,7 @@
                 detail=detail,
                 oldest_s=oldest_s,
             )
-            accepted = outcome in (
-                LoadOrderOutcome.STARTED,
-                LoadOrderOutcome.DONE,
-                LoadOrderOutcome.UNKNOWN,
-            )
-            self.load_planner.on_order_ended(accepted)
+            self.load_planner.on_order_ended(_ORDER_RESULTS[outcome])
 
         self.engine.order_load(
             self.model,
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 
 import attrs
@@ -22,6 +23,8 @@
 #: Seconds to wait after a chunk that was read back had another digest; an engine that never keeps a
 #: chunk must not be called without pause.
 MISMATCH_PAUSE_S = 0.05
+#: Seconds for which a call that staged a chunk and got no response may still be carried out.
+LATE_STAGE_S = 3.0
 #: Seconds to wait after an order that was or may have been accepted; the engine's report then shows
 #: whether it took effect.
 ORDER_SETTLE_S = 0.5
@@ -65,6 +68,19 @@
 PlannedCommand = StageChunk | VerifyChunk | OrderLoad
 
 
+class OrderResult(enum.Enum):
+    """What is known of an order after the call that sent it."""
+
+    #: The engine has accepted it, now or before.
+    ACCEPTED = enum.auto()
+    #: The engine has refused it because of its state, and will not accept it later.
+    REFUSED = enum.auto()
+    #: It was not sent, or refused for another reason.
+    FAILED = enum.auto()
+    #: There was no response; the engine may have accepted it, or may do so later.
+    UNKNOWN = enum.auto()
+
+
 class LoadPlanner:
     """Decides which chunks to stage and when to order the load; the daemon executes both.
 
@@ -87,7 +103,14 @@
         #: Unix seconds at which the staging or verification in flight of a chunk started.
         self._in_flight: dict[int, float] = {}
         self._order_in_flight = False
+        #: Target of the latest order, with the orders that the engine had accepted before it.
+        self._ordered: tuple[VersionState, int | None] | None = None
         self._paused_until = 0.0
+        #: Version of the latest staging without a response of each chunk, and the unix seconds until
+        #: which the engine may still carry it out.
+        self._unanswered: dict[int, tuple[int, float]] = {}
+        #: Target of an order whose outcome is unknown, with the orders that the engine had accepted.
+        self._unknown_order: tuple[VersionState, int | None] | None = None
         #: Start time of the engine that holds the staged chunks, in unix milliseconds.
         self._engine_born_ms = 0
         #: Unix seconds since which this start of the engine is known.
@@ -103,12 +126,17 @@
           report: Latest report of the engine, or None while it does not respond.
           now: Unix seconds.
         """
-        if target is None or target.digests is None or report is None or report.loading:
+        if report is None or report.loading:
             return []
         if report.born_ms != self._engine_born_ms:
             # A restarted engine may have lost what was staged.
             self._engine_born_ms, self._engine_known_since = report.born_ms, now
             self._discard_staged()
+            self._unanswered.clear()
+            self._unknown_order = None
+        target = self._pinned_target(report) or target
+        if target is None or target.digests is None:
+            return []
         if self._order_in_flight or now < self._paused_until:
             return []
         if target.version != self._version:
@@ -116,17 +144,23 @@
                 return []
             self._version = target.version
             self._discard_staged()
-        unstaged = [index for index in range(len(target.digests)) if index not in self._staged]
-        unverified = [
+        pending = [
             index
-            for index in sorted(self._staged)
-            if now - self._verified_at.get(index, float("-inf")) >= REVERIFY_AFTER_S
+            for index in range(len(target.digests))
+            if index not in self._staged
+            or now - self._verified_at.get(index, float("-inf")) >= REVERIFY_AFTER_S
         ]
-        due = [index for index in unstaged + unverified if index not in self._in_flight]
-        if not due and not self._in_flight:
+        if not pending and not self._in_flight:
             self._order_in_flight = True
+            self._ordered = target, report.orders
             oldest = min(self._verified_at.values())
             return [OrderLoad(target.version, report.orders, oldest, oldest + MAX_AGE_AT_ORDER_S)]
+        due = [
+            index
+            for index in sorted(pending, key=lambda index: index in self._staged)
+            if index not in self._in_flight
+            and not (index in self._staged and self._may_be_replaced(index, now))
+        ]
         free_slots = MAX_PARALLEL_STAGES - len(self._in_flight)
         commands: list[PlannedCommand] = []
         for index in due[:free_slots]:
@@ -138,11 +172,26 @@
                 commands.append(StageChunk(target.version, index, digest))
         return commands
 
+    def _pinned_target(self, report: EngineReport) -> VersionState | None:
+        """Returns the target of an order that the engine may still accept, None if there is none.
+
+        Until it has accepted an order or refused this one, no other version may be staged.
+        """
+        if self._unknown_order is not None and report.orders != self._unknown_order[1]:
+            self._unknown_order = None
+        return None if self._unknown_order is None else self._unknown_order[0]
+
+    def _may_be_replaced(self, index: int, now: float) -> bool:
+        """Returns whether a late staging may still replace a chunk by one of another version."""
+        version, until = self._unanswered.get(index, (self._version, 0.0))
+        return version != self._version and now < until
+
     def on_staged(self, index: int, error: str) -> None:
         """Records the result of staging a chunk; an empty `error` means success."""
         del self._in_flight[index]
         if error:
             self._paused_until = self._now() + FAILURE_PAUSE_S
+            self._unanswered[index] = self._version, self._now() + LATE_STAGE_S
         else:
             self._staged.add(index)
 
@@ -158,11 +207,16 @@
             self._verified_at.pop(index, None)
             self._paused_until = max(self._paused_until, self._now() + MISMATCH_PAUSE_S)
 
-    def on_order_ended(self, accepted: bool) -> None:
-        """Records the result of an order; `accepted` is also set when the result is unknown."""
+    def on_order_ended(self, result: OrderResult) -> None:
+        """Records the result of an order."""
         self._order_in_flight = False
+        if result is OrderResult.UNKNOWN:
+            self._unknown_order = self._ordered
+        elif result is not OrderResult.FAILED:
+            self._unknown_order = None
         # Until a report shows the effect, the engine would at best refuse another order.
-        self._paused_until = self._now() + (ORDER_SETTLE_S if accepted else FAILURE_PAUSE_S)
+        settles = result in (OrderResult.ACCEPTED, OrderResult.UNKNOWN)
+        self._paused_until = self._now() + (ORDER_SETTLE_S if settles else FAILURE_PAUSE_S)
         self._discard_staged()
 
     def _discard_staged(self) -> None:
--- a/tests/platform/stager_deployment.py
+++ b/tests/platform/stager_deployment.py
@@ -59,6 +59,10 @@
         name = f"stager-{self._starts}"
         self.stager = self._fleet.spawn_module("fescuechute", *args, name=name)
 
+    def kill_stager(self) -> None:
+        """Kills the stager process."""
+        self.stager.kill()
+
     def close(self) -> None:
         self.engine.running.set()
         self.engine.close()
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -9,6 +9,7 @@
 from fescuechute.stager import (
     LoadPlanner,
     OrderLoad,
+    OrderResult,
     StageChunk,
     VerifyChunk,
     VersionPlan,
@@ -210,7 +211,7 @@
         """Guards against two orders for one load."""
         clock, planner, target = self.make()
         assert self.until_order(planner, target, clock)[-1] == OrderLoad(2, 0, 0.0, 2.5)
-        planner.on_order_ended(True)
+        planner.on_order_ended(OrderResult.ACCEPTED)
         assert planner.plan(target, engine_report(), 0.4) == []
 
     def test_chunks_are_staged_again_at_a_restarted_engine(self):
@@ -234,3 +235,74 @@
         for _ in range(2):
             self.execute(planner, planner.plan(target, report, 0.0))
         assert planner.plan(target, report, 0.0) == [OrderLoad(2, orders, 0.0, 2.5)]
+
+    def test_chunk_is_verified_once_a_late_staging_of_another_version_has_passed(self):
+        """Guards against a chunk of the old version that replaces a new one after its verification."""
+        clock, planner, old = self.make()
+        self.execute(planner, planner.plan(old, engine_report(), 0.0), fail=(1,))
+        clock[0] = 0.5
+        target = VersionState(3, (b"c", b"d"))
+        self.execute(planner, planner.plan(target, engine_report(), 0.5))
+        commands = planner.plan(target, engine_report(), 0.5)
+        assert commands == [VerifyChunk(0, b"c")]
+        self.execute(planner, commands)
+        assert planner.plan(target, engine_report(), 2.0) == []
+        assert VerifyChunk(1, b"d") in planner.plan(target, engine_report(), 3.0)
+
+    def test_failed_staging_of_the_same_version_delays_nothing(self):
+        """Guards against a load that waits although a late call would change nothing."""
+        clock, planner, target = self.make()
+        self.execute(planner, planner.plan(target, engine_report(), 0.0), fail=(1,))
+        clock[0] = 0.5
+        commands = self.until_order(planner, target, clock)
+        assert VerifyChunk(1, b"b") in commands
+
+    @pytest.mark.parametrize(
+        ("result", "pinned"),
+        [
+            (OrderResult.UNKNOWN, True),
+            (OrderResult.ACCEPTED, False),
+            (OrderResult.REFUSED, False),
+            (OrderResult.FAILED, False),
+        ],
+    )
+    def test_no_other_version_is_staged_while_an_order_may_be_accepted(self, result, pinned):
+        """Guards against an order that takes effect while the next version is being staged."""
+        clock, planner, old = self.make()
+        self.until_order(planner, old, clock)
+        planner.on_order_ended(result)
+        clock[0] = 1.0
+        newer = VersionState(3, (b"c", b"d"))
+        version = old.version if pinned else 3
+        assert {command.version for command in planner.plan(newer, engine_report(), 1.0)} == {
+            version
+        }
+
+    @pytest.mark.parametrize(
+        ("name", "report"),
+        [
+            ("the engine has accepted the order", engine_report(orders=1)),
+            ("the engine has restarted", engine_report(born_ms=6)),
+        ],
+    )
+    def test_next_version_is_staged_once_the_order_is_settled(self, name, report):
+        """Guards against a stager that waits for ever for an order without a response."""
+        clock, planner, old = self.make()
+        self.until_order(planner, old, clock)
+        planner.on_order_ended(OrderResult.UNKNOWN)
+        clock[0] = 1.0
+        newer = VersionState(3, (b"c", b"d"))
+        commands = planner.plan(newer, report, 1.0)
+        assert [command.version for command in commands] == [3, 3], name
+
+    def test_unknown_order_is_settled_by_the_next_one(self):
+        """Guards against a stager that stages a version for ever whose second order was answered."""
+        clock, planner, old = self.make()
+        self.until_order(planner, old, clock)
+        planner.on_order_ended(OrderResult.UNKNOWN)
+        clock[0] = 1.0
+        newer = VersionState(3, (b"c", b"d"))
+        assert self.until_order(planner, newer, clock)[-1].version == 2
+        planner.on_order_ended(OrderResult.REFUSED)
+        clock[0] = 2.0
+        assert planner.plan(newer, engine_report(), 2.0)[0] == StageChunk(3, 0, b"c")
