Bound the cost of bodies in very small parts and of endless streams

Cause: decoding a part of a body costs the same whatever its size, and up to 1 MB was read and decoded before another connection had its turn. A stream could have any number of events.

Evidence: each kind of endless head, body, chunk, trailer and event was sent to a gateway, with memory and the slowest other request measured.

A readable event ends after 5 ms; one read takes 16 KB. A stream may have two events for each output token and 100 more, or 100,000.

--- a/fescuechute/forwarding/_server.py
+++ b/fescuechute/forwarding/_server.py
@@ -10,7 +10,7 @@
 
 from fescuechute.catalog import ClientLimits
 from fescuechute.forwarding._headers import Headers
-from fescuechute.net import Clock, Connection, SocketOwner
+from fescuechute.net import BodyParts, Clock, Connection, SocketOwner
 
 #: Limit on response bytes buffered for a slow client; beyond it the connection is closed.
 _MAX_BUFFERED_BYTES = 1 << 20
@@ -169,6 +169,7 @@
         self._protocol = self._new_protocol()
         self._request: h11.Request | None = None
         self._body = bytearray()
+        self._body_parts = BodyParts()
         self._response: Response | None = None
         self._served_requests = 0
         #: Whether the connection ends because its request was not acceptable.
@@ -267,6 +268,7 @@
         self._request = None
         self._receiving = False
         self._body.clear()
+        self._body_parts = BodyParts()
         self._deadline = self._server.clock.now() + self._server.limits.idle_s
         if self._pipelined_bytes:
             self._pipelined_bytes = 0
@@ -329,6 +331,9 @@
             self._body += event.data
             if len(self._body) > self._server.limits.body_bytes:
                 self._reject_body()
+            elif not self._body_parts.add(len(event.data)):
+                self._server.count("callers.small_parts")
+                self.reject(400, "The body arrives in too small parts; send larger chunks.")
         elif isinstance(event, h11.EndOfMessage):
             self._pass_to_handler()
 
--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -13,7 +13,14 @@
 from fescuechute.checks import Address
 from fescuechute.errors import ResponseTooLargeError
 from fescuechute.forwarding._headers import Headers, keep_alive_timeout_s
-from fescuechute.net import PEER_CLOSED, Clock, Connection, SocketOwner, is_connection_refused
+from fescuechute.net import (
+    PEER_CLOSED,
+    BodyParts,
+    Clock,
+    Connection,
+    SocketOwner,
+    is_connection_refused,
+)
 
 #: Seconds for which an idle connection is kept when the upstream sends no `Keep-Alive` timeout.
 _DEFAULT_KEEP_ALIVE_S = 4.0
@@ -97,6 +104,8 @@
     skipped_responses: int = 0
     #: Bytes of the bodies of these responses.
     skipped_bytes: int = 0
+    #: Parts in which the bodies of the responses have arrived.
+    body_parts: BodyParts = attrs.field(factory=BodyParts)
     #: Whether the response being received belongs to an earlier request.
     skipping_response: bool = False
     #: Number of informational responses received.
@@ -293,6 +302,9 @@
             self._fail(call, CallFailure.MALFORMED, "too many informational responses")
 
     def _on_body(self, call: UpstreamCall, data: bytes) -> None:
+        if not call.body_parts.add(len(data)):
+            self._fail(call, CallFailure.TOO_LARGE, "the body arrives in too small parts")
+            return
         if call.skipping_response:
             call.skipped_bytes += len(data)
             if call.skipped_bytes > _MAX_SKIPPED_BYTES:
--- a/fescuechute/gateway/_attempt.py
+++ b/fescuechute/gateway/_attempt.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from fescuechute.catalog import ResponseMeta
+from fescuechute.errors import ResponseTooLargeError
 from fescuechute.forwarding import (
     CallFailure,
     EventSplitter,
@@ -16,6 +17,11 @@
 from fescuechute.gateway._choice import Choice
 from fescuechute.platform import decode_response_meta
 
+#: Events that a stream may have if its request does not limit the tokens, and the events that it may have
+#: for each token and beyond these.
+_MAX_EVENTS = 100_000
+_EVENTS_PER_TOKEN = 2
+_EXTRA_EVENTS = 100
 #: Seconds from the first event within which a crash may be caused by the answer.
 BEGIN_S = 1.0
 
@@ -37,7 +43,16 @@
 
 
 class Attempt:
-    """Receives one response; buffers its body, or passes on the events of a successful stream."""
+    """Receives one response; buffers its body, or passes on the events of a successful stream.
+
+    Args:
+      listener: Receives the events of the attempt.
+      choice: The replica.
+      streaming: Whether the response is an event stream.
+      now: Unix seconds.
+      buffers: Limit on the memory of incomplete responses.
+      max_tokens: Number of output tokens that the request allows, 0 if unknown; it limits the events.
+    """
 
     def __init__(
         self,
@@ -46,11 +61,15 @@
         streaming: bool,
         now: float,
         buffers: ResponseBuffers,
+        max_tokens: int = 0,
     ):
         self._listener = listener
         self._splitter = EventSplitter()
         self._streaming = streaming
         self._buffers = buffers
+        self._max_events = (
+            _EXTRA_EVENTS + _EVENTS_PER_TOKEN * max_tokens if max_tokens else _MAX_EVENTS
+        )
         self.choice = choice
         self.started_at = now
         self.call: UpstreamCall | None = None
@@ -132,6 +151,11 @@
             return
         events = self._splitter.feed(data)
         self.event_count += len(events)
+        if self.event_count > self._max_events:
+            raise ResponseTooLargeError(
+                f"A stream has more than {self._max_events} events.",
+                "Check the upstream; its response does not end.",
+            )
         if events:
             self._listener.attempt_events(self, events)
 
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -425,7 +425,14 @@
 
     def _start_attempt(self, choice: Choice) -> Attempt:
         now = self._dispatch.now()
-        attempt = Attempt(self, choice, self.streaming, now, self._dispatch.response_buffers)
+        attempt = Attempt(
+            self,
+            choice,
+            self.streaming,
+            now,
+            self._dispatch.response_buffers,
+            self.meta.max_tokens,
+        )
         self._tried.append(choice.row.instance)
         max_idle_s = float("inf") if self.retryable else NON_RETRYABLE_MAX_IDLE_S
         attempt.call = self._dispatch.send(self, attempt, self._outbound(choice, now), max_idle_s)
--- a/fescuechute/net/__init__.py
+++ b/fescuechute/net/__init__.py
@@ -2,7 +2,8 @@
 
 from fescuechute.net._clock import Clock, ManualClock, SystemClock
 from fescuechute.net._datagrams import DatagramSocket
-from fescuechute.net._http import HttpCall, HttpClient, HttpResult
+from fescuechute.net._framing import BodyParts
+from fescuechute.net._http import MAX_BODY_BYTES, HttpCall, HttpClient, HttpResult
 from fescuechute.net._links import Link, LinkHandler, LinkHub
 from fescuechute.net._loop import Loop, tick
 from fescuechute.net._sockets import (
@@ -13,7 +14,9 @@
 )
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "PEER_CLOSED",
+    "BodyParts",
     "Clock",
     "Connection",
     "DatagramSocket",
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -15,6 +15,7 @@
 import h11
 
 from fescuechute.net._clock import Clock
+from fescuechute.net._framing import BodyParts
 from fescuechute.net._sockets import PEER_CLOSED, Connection, SocketOwner
 
 #: Idle connections kept per server.
@@ -91,6 +92,9 @@
     protocol: h11.Connection | None = None
     status: int = 0
     body: bytearray = attrs.field(factory=bytearray)
+    body_parts: BodyParts = attrs.field(factory=BodyParts)
+    #: Limit on a collected body in bytes.
+    max_body_bytes: int = MAX_BODY_BYTES
     sent: bool = False
     #: Unix seconds at which the first byte of the response arrived, or None before.
     first_byte_at: float | None = None
@@ -125,6 +129,7 @@
         send_deadline: float = float("inf"),
         new_connection: bool = False,
         keep_idle_s: float = _IDLE_TIMEOUT_S,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> HttpCall:
         """Starts a request.
 
@@ -144,6 +149,7 @@
           new_connection: Whether to open a new connection. The server may close a pooled connection
             just before the request arrives, which leaves unknown whether the request was executed.
           keep_idle_s: Seconds for which the connection may be reused after the call; 0 closes it.
+          max_body_bytes: Limit in bytes on a collected body, beyond which the call fails.
 
         Returns:
           A handle to pass to `cancel`.
@@ -173,6 +179,7 @@
             send_deadline,
             on_progress,
             keep_idle_s,
+            max_body_bytes=max_body_bytes,
         )
         self._calls.add(call)
         self._start_call(call, now, new_connection)
@@ -282,11 +289,14 @@
             self._fail(call, f"invalid HTTP: {exc}")
 
     def _add_body(self, call: HttpCall, data: bytes) -> None:
-        if call.on_data is not None and 200 <= call.status < 300:
+        if not call.body_parts.add(len(data)):
+            call.body.clear()
+            self._fail(call, "the body arrives in too small parts")
+        elif call.on_data is not None and 200 <= call.status < 300:
             call.on_data(data)
-        elif len(call.body) + len(data) > MAX_BODY_BYTES:
+        elif len(call.body) + len(data) > call.max_body_bytes:
             call.body.clear()
-            self._fail(call, f"the body exceeds {MAX_BODY_BYTES} bytes")
+            self._fail(call, f"the body exceeds {call.max_body_bytes} bytes")
         else:
             call.body += data
 
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -25,10 +25,12 @@
 #: The reason differs with whether the poller reports the failed connect as readable or as writable.
 _REFUSED_REASONS = frozenset({"connect failed: ECONNREFUSED", os.strerror(errno.ECONNREFUSED)})
 
-#: Maximum bytes per read from a socket.
-_MAX_READ_BYTES = 256 * 1024
-#: Reads per readable event, so that one busy peer cannot starve the others.
-_READS_PER_EVENT = 4
+#: Maximum bytes per read from a socket. Decoding may take 10 us for each 10 bytes.
+_MAX_READ_BYTES = 16 * 1024
+#: Seconds of a readable event after which no further read is started, so that one busy peer cannot
+#: starve the others, and the most reads of one event.
+_READ_TIME_S = 0.005
+_READS_PER_EVENT = 64
 #: Readable events handled for a connection that has failed; they cover the kernel's receive buffer.
 _MAX_FINAL_READS = 8
 #: Seconds that a finished connection waits for the peer to close, or to read more of the buffered
@@ -165,6 +167,7 @@
 
     def handle_readable(self) -> None:
         """Reads available data and passes it to `on_data`."""
+        deadline = time.monotonic() + _READ_TIME_S
         for _ in range(_READS_PER_EVENT):
             if self._sock is None or not self._reading:
                 return
@@ -182,7 +185,7 @@
                 return
             self._owner.bytes_in += len(data)
             self.on_data(data)
-            if len(data) < _MAX_READ_BYTES:
+            if len(data) < _MAX_READ_BYTES or time.monotonic() >= deadline:
                 return
 
     def handle_writable(self) -> None:
--- a/tests/forwarding/test_forwarding_server.py
+++ b/tests/forwarding/test_forwarding_server.py
@@ -64,6 +64,7 @@
         ("two framings", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
         ("long head", b"GET / HTTP/1.1\r\nHost: x\r\nX-Long: " + b"y" * 40_000, 431),
         ("long body", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n", 413),
+        ("chunks of one byte", b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 9000, 400),
     ],
 )  # fmt: skip
 def test_malformed_and_oversized_requests_are_rejected(name, data, status):
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -1,5 +1,7 @@
 """Replicas that send bytes without end: guards against a gateway that reads them until it fails."""
 
+from __future__ import annotations
+
 import http.client
 import itertools
 import socket
@@ -14,11 +16,23 @@
 CLIENT_DEADLINE_S = 2.5
 #: Megabytes by which the memory of a gateway of 300 MB may grow.
 MAX_GROWTH_MB = 100
+#: Seconds within which a gateway must respond to others: the platform asks it each second whether it is
+#: ready, and takes it out after two questions without an answer.
+READY_INTERVAL_S = 1.0
 _PART_BYTES = 64 * 1024
 
 OWN = b"X-Fescuechute-Request-Id: 9c41\r\nX-Fescuechute-Response-Seal: s\r\n"
 FOREIGN = b"X-Fescuechute-Request-Id: other\r\nX-Fescuechute-Response-Seal: s\r\n"
-CHUNK = b"%x\r\n" % _PART_BYTES + b"x" * _PART_BYTES + b"\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns data as one chunk of a chunked body."""
+    return b"%x\r\n" % len(data) + data + b"\r\n"
+
+
+CHUNK = chunk(b"x" * _PART_BYTES)
+TINY_CHUNKS = chunk(b"x") * 10_000
+EVENT = b"id: %d\ndata: a\n\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -34,8 +48,15 @@
     ("body of a refusal", "/a/x", b"HTTP/1.1 503 E\r\nX-Fescuechute-Not-Executed: 1\r\n" + OWN + CHUNKED, CHUNK),
     ("chunk extension", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"5;a=", b"x" * _PART_BYTES),
     ("trailer", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"0\r\n", b"X-A: b\r\n" * 1000),
+    ("chunks of one byte", "/a/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, TINY_CHUNKS),
+    ("foreign body of one-byte chunks", "/a/x", b"HTTP/1.1 200 OK\r\n" + FOREIGN + CHUNKED, TINY_CHUNKS),
     ("foreign body", "/a/x", b"HTTP/1.1 200 OK\r\n" + FOREIGN + CHUNKED, CHUNK),
     ("one event", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, CHUNK),
+    ("event of one-byte chunks", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, TINY_CHUNKS),
+    ("the first event again", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, chunk(EVENT % 1) * 1000),
+    ("events without ids", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, chunk(b"data: a\n\n") * 1000),
+    ("events in large chunks", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, chunk(b"data: aa\n\n" * 6000)),
+    ("one-byte lines of an event", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED, chunk(b"a\n" * 1000)),
     ("event after the first", "/s/x", b"HTTP/1.1 200 OK\r\n" + OWN + CHUNKED + b"e\r\nid: 1\ndata: a\n\n\r\n", CHUNK),
 ]  # fmt: skip
 
@@ -105,7 +126,9 @@
     before_mb = resident_mb(deployment.gateway)
     accepted, closed = replica.accepted, replica.closed
     started_at = time.monotonic()
-    status, body, complete = send(deployment, path)
+    with OtherClient(deployment) as other:
+        status, body, complete = send(deployment, path)
+    assert other.slowest_s < READY_INTERVAL_S
     assert time.monotonic() - started_at < CLIENT_DEADLINE_S + 0.5
     assert not complete or status in (502, 503, 504)
     assert b"x" not in body
@@ -113,6 +136,30 @@
     assert resident_mb(deployment.gateway) - before_mb < MAX_GROWTH_MB
 
 
+class OtherClient:
+    """Sends requests beside a test and measures the slowest one, in seconds."""
+
+    def __init__(self, deployment: Deployment):
+        self._deployment = deployment
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.slowest_s = 0.0
+
+    def __enter__(self) -> OtherClient:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_args: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._ended.wait(0.02):
+            started_at = time.monotonic()
+            assert self._deployment.is_ready()
+            self.slowest_s = max(self.slowest_s, time.monotonic() - started_at)
+
+
 def start_deployment(fleet, tmp_path, replica) -> Deployment:
     """Starts a gateway whose two replicas are at the address of the endless one."""
     deployment = Deployment(fleet, tmp_path, replicas=0)
