Limit what a stager collects of each response to what it can use

Endless responses could take the memory of a stager, which the platform then ends.

Cause: every call had the limit of 16 MB that records of the store need. Seven calls to the engine and several to the origin may be in flight, which together come near the 168 MB of a stager.

Evidence: a real stager and an engine that answers without end, before the change: 16.2 MB for one report and 18.4 MB for one staged chunk, beside 39 MB without a fault.

Change: reports may have 256 KB, replies without data 64 KB, and chunks, of the engine, the origin and peers, the size that the configuration gives.

--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -10,7 +10,7 @@
 from fescuechute.catalog import EngineReport
 from fescuechute.checks import Address
 from fescuechute.errors import PlatformError
-from fescuechute.net import HttpCall, HttpClient, HttpResult
+from fescuechute.net import MAX_BODY_BYTES, HttpCall, HttpClient, HttpResult
 from fescuechute.platform import _names as names
 from fescuechute.platform._records import decode_manifest, decode_report
 
@@ -21,6 +21,9 @@
 #: Seconds for which a connection to the origin is kept between two chunks. The origin accepts few
 #: connections, and one that is idle turns away another VM.
 _ORIGIN_KEEP_IDLE_S = 0.3
+#: Limits in bytes on the report of an engine, and on its responses to calls that return no data.
+_MAX_REPORT_BYTES = 256 * 1024
+_MAX_REPLY_BYTES = 64 * 1024
 #: Maximum number of bytes of a response body that are quoted in a log line.
 _MAX_DETAIL_BYTES = 200
 
@@ -61,7 +64,7 @@
                 return
             on_end(report)
 
-        self._call("GET", names.REPORT_PATH, on_result)
+        self._call("GET", names.REPORT_PATH, on_result, max_body_bytes=_MAX_REPORT_BYTES)
 
     def order_load(
         self,
@@ -106,11 +109,19 @@
         self._call("PUT", path, lambda result: on_end(_failure_reason(result)), data)
 
     def fetch_staged_chunk(
-        self, model: str, index: int, on_end: Callable[[bytes | None], None]
+        self, model: str, index: int, on_end: Callable[[bytes | None], None], *, max_bytes: int
     ) -> None:
-        """Reads back a staged chunk; calls back with None if the engine does not return it."""
+        """Reads back a staged chunk of at most `max_bytes` bytes.
+
+        Calls back with None if the engine does not return it.
+        """
         path = f"{names.STAGE_GET_PATH}/{quote(model, safe='')}?num={index}"
-        self._call("GET", path, lambda result: on_end(result.body if result.ok else None))
+        self._call(
+            "GET",
+            path,
+            lambda result: on_end(result.body if result.ok else None),
+            max_body_bytes=max_bytes,
+        )
 
     def _call(
         self,
@@ -120,6 +131,7 @@
         body: bytes = b"",
         new_connection: bool = False,
         send_deadline: float = float("inf"),
+        max_body_bytes: int = _MAX_REPLY_BYTES,
     ) -> None:
         self._http.call(
             method,
@@ -130,6 +142,7 @@
             idle_timeout_s=_LOCAL_IDLE_TIMEOUT_S,
             new_connection=new_connection,
             send_deadline=send_deadline,
+            max_body_bytes=max_body_bytes,
         )
 
 
@@ -172,13 +185,19 @@
         version: int,
         index: int,
         on_end: Callable[[bytes | str], None],
+        *,
+        max_bytes: int,
     ) -> HttpCall:
-        """Fetches one chunk; calls back with its bytes or the reason for the failure."""
+        """Fetches one chunk of at most `max_bytes` bytes.
+
+        Calls back with its bytes or the reason for the failure.
+        """
         path = f"{names.CHUNK_PATH}/{quote(model, safe='')}?num={index}&version={version}"
         return self._call(
             origin,
             path,
             lambda result: on_end(result.body if result.ok else _failure_reason(result)),
+            max_body_bytes=max_bytes,
         )
 
     def _call(
@@ -188,6 +207,7 @@
         on_end: Callable[[HttpResult], None],
         *,
         keep_idle_s: float = _ORIGIN_KEEP_IDLE_S,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> HttpCall:
         return self._http.call(
             "GET",
@@ -196,6 +216,7 @@
             on_end,
             idle_timeout_s=_ORIGIN_IDLE_TIMEOUT_S,
             keep_idle_s=keep_idle_s,
+            max_body_bytes=max_body_bytes,
         )
 
 
--- a/fescuechute/stager/_chunk_transfer.py
+++ b/fescuechute/stager/_chunk_transfer.py
@@ -11,7 +11,7 @@
 
 from fescuechute.checks import Address
 from fescuechute.forwarding import ClientRequest, Response
-from fescuechute.net import HttpCall, HttpResult
+from fescuechute.net import MAX_BODY_BYTES, HttpCall, HttpResult
 from fescuechute.telemetry import Telemetry
 from fescuechute.weights import (
     ORIGIN,
@@ -66,6 +66,7 @@
         on_end: Callable[[HttpResult], None],
         *,
         idle_timeout_s: float,
+        max_body_bytes: int,
     ) -> HttpCall:
         """Starts a request."""
 
@@ -83,6 +84,8 @@
         version: int,
         index: int,
         on_end: Callable[[bytes | str], None],
+        *,
+        max_bytes: int,
     ) -> HttpCall:
         """Requests one chunk; passes on its bytes, or the reason of the failure."""
 
@@ -148,6 +151,8 @@
     ):
         self.store = BlobStore(sha256)
         self.ring = Ring(self_id, self.store)
+        #: Limit in bytes on a chunk that is fetched.
+        self.max_chunk_bytes = MAX_BODY_BYTES
         self._self_id = self_id
         self._links = links
         self._client = client
@@ -266,6 +271,7 @@
             idle_timeout_s=UNANNOUNCED_CHUNK_IDLE_TIMEOUT_S
             if command.deadline == float("inf")
             else CHUNK_IDLE_TIMEOUT_S,
+            max_body_bytes=self.max_chunk_bytes,
         )
 
     @_execute.register
@@ -281,6 +287,7 @@
             location.version,
             location.index,
             lambda response: self._on_origin_response(digest, response),
+            max_bytes=self.max_chunk_bytes,
         )
 
     @_execute.register
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -15,7 +15,7 @@
 from fescuechute.errors import Problem, SettingsError
 from fescuechute.feeds import FeedSettings, KeyedRecord
 from fescuechute.forwarding import ClientServer
-from fescuechute.net import LinkHub
+from fescuechute.net import MAX_BODY_BYTES, LinkHub
 from fescuechute.platform import (
     EngineClient,
     LoadOrderOutcome,
@@ -262,7 +262,8 @@
             self.load_planner.on_verified(index, matches)
             self._stage_and_load(self.clock.now())
 
-        self.engine.fetch_staged_chunk(self.model, index, on_read)
+        max_bytes = self.transfer.max_chunk_bytes
+        self.engine.fetch_staged_chunk(self.model, index, on_read, max_bytes=max_bytes)
 
     def _order_load(self, command: OrderLoad) -> None:
         version = command.version
@@ -340,7 +341,8 @@
         self.recovery.start(range(len(loaded.digests)))
 
     def _read_staged_chunk(self, index: int, on_end: Callable[[bytes | None], None]) -> None:
-        self.engine.fetch_staged_chunk(self.model, index, on_end)
+        max_bytes = self.transfer.max_chunk_bytes
+        self.engine.fetch_staged_chunk(self.model, index, on_end, max_bytes=max_bytes)
 
     def _on_staged_chunk(self, index: int, data: bytes) -> None:
         loaded = self.versions.get(self.versions.loaded)
@@ -464,6 +466,12 @@
         other_regions = sorted(region for region in ips_by_region if region != origin_region)
         return [ip for region in [origin_region, *other_regions] for ip in ips_by_region[region]]
 
+    def _max_chunk_bytes(self) -> int:
+        """Returns the size of the largest chunk of the engine's model, in bytes."""
+        service = self._services.get(self.settings.service)
+        engine = None if service is None else service.engine
+        return engine.chunk_bytes if engine is not None and engine.chunk_bytes else MAX_BODY_BYTES
+
     def _download_s(self) -> float:
         """Returns the estimated seconds to download one version, 0 if it cannot be estimated."""
         service = self._services.get(self.settings.service)
@@ -484,6 +492,7 @@
         if isinstance(decoded, Configuration):
             self._services = decoded.services
             self.versions.download_s = self._download_s()
+            self.transfer.max_chunk_bytes = self._max_chunk_bytes()
             self._update_ring()
             self._plan_declared_version()
         elif isinstance(decoded, VersionDeclaration):
--- a/standins/platform/engine.py
+++ b/standins/platform/engine.py
@@ -9,11 +9,13 @@
 
 import contextlib
 import hashlib
+import itertools
 import json
 import random
 import socket
 import threading
 import time
+from collections.abc import Iterator
 from urllib.parse import parse_qs, urlsplit
 
 import attrs
@@ -53,6 +55,11 @@
     twice_share: float = 0.0
     #: Share of the puts that are answered with success and not carried out.
     dropped_share: float = 0.0
+    #: Text in the paths whose responses do not end, and the bytes with which they begin and go on; no
+    #: path if empty.
+    endless_path: str = ""
+    endless_start: bytes = b""
+    endless_bytes: bytes = b""
 
 
 @attrs.frozen
@@ -97,6 +104,10 @@
         """Returns whether the next response is sent twice."""
         return False
 
+    def endless_response(self, path: str) -> Iterator[bytes]:
+        """Returns the parts of a response without end, none if the response is to be an ordinary one."""
+        return iter(())
+
     def _accept(self) -> None:
         while True:
             try:
@@ -113,6 +124,8 @@
             while (request := _read_request(file)) is not None:
                 if extra:
                     conn.sendall(extra)
+                for part in self.endless_response(request.path):
+                    conn.sendall(part)
                 status, body = self.answer(request)
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
                 conn.sendall(head.encode() + body)
@@ -175,6 +188,8 @@
         self.staged = {index: chunk(1, index, chunk_bytes) for index in range(chunks)}
         self._corrupt_since: dict[int, float] = {}
         self.loads: list[Load] = []
+        #: Number of responses without end that were started.
+        self.endless_calls = 0
         self.puts = 0
 
     def corrupt(self, indexes: list[int]) -> None:
@@ -195,6 +210,13 @@
                 self._corrupt_since.clear()
         self.close_connections()
 
+    def endless_response(self, path: str) -> Iterator[bytes]:
+        faults = self.faults
+        if not faults.endless_path or faults.endless_path not in path:
+            return iter(())
+        self.endless_calls += 1
+        return itertools.chain([faults.endless_start], itertools.repeat(faults.endless_bytes))
+
     def is_answered_twice(self) -> bool:
         return self._rng.random() < self.faults.twice_share
 
--- a/tests/platform/test_origin_client.py
+++ b/tests/platform/test_origin_client.py
@@ -27,7 +27,9 @@
         if kind == "manifest":
             loop.call_at(0.0, lambda: client.fetch_manifest(origin, "m", 2, results.put))
         else:
-            loop.call_at(0.0, lambda: client.fetch_chunk(origin, "m", 2, 0, results.put))
+            loop.call_at(
+                0.0, lambda: client.fetch_chunk(origin, "m", 2, 0, results.put, max_bytes=1000)
+            )
         conn = upstream.accept()
         read_until(conn, b"\r\n\r\n")
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(MANIFEST)
