Fail an answer of an engine that has more tokens than requested

What callers saw: nothing yet; found while every program that reads from a replica was checked for endless responses.

Cause: an agent passed on any number of tokens of its engine, and the entry collected them until the deadline.

Evidence: tests/agent/test_engine_executor.py, test_more_tokens_than_requested_fail_the_request fails without the change.

Change: the request fails as upstream_error and is cancelled at the engine.

--- a/fescuechute/agent/_engine.py
+++ b/fescuechute/agent/_engine.py
@@ -102,7 +102,7 @@
         lines = (row.partial_line + data).split(b"\n")
         row.partial_line = lines.pop()
         if len(row.partial_line) > _MAX_LINE_BYTES:
-            self._fail_endless_line(row)
+            self._fail_endless(row, f"a line of more than {_MAX_LINE_BYTES} bytes")
             return
         first = row.token_count
         tokens: list[str] = []
@@ -114,6 +114,10 @@
                 tokens.append(item["t"])
             elif line:
                 self._node.count("engine.unexpected_line")
+        assert isinstance(row.msg, Generate)
+        if row.token_count + len(tokens) > row.msg.max_tokens:
+            self._fail_endless(row, f"more than {row.msg.max_tokens} tokens")
+            return
         if tokens:
             row.token_count += len(tokens)
             self._tokens_in_period += len(tokens)
@@ -121,11 +125,11 @@
             piece = Piece(msg.request_id, msg.attempt, first, tuple(tokens))
             self._node.hub.send(row.peer_id, piece)
 
-    def _fail_endless_line(self, row: WorkRow) -> None:
+    def _fail_endless(self, row: WorkRow, found: str) -> None:
         self._node.count("engine.endless_line")
         row.partial_line = b""
         self.cancel(row)
-        text = f"A line of the engine's answer exceeds {_MAX_LINE_BYTES} bytes."
+        text = f"The engine's answer has {found}."
         self._fail(row, Reason.UPSTREAM_ERROR, crashed=False, text=text)
 
     def _on_end(self, row: WorkRow, result: HttpResult) -> None:
--- a/tests/agent/test_engine_executor.py
+++ b/tests/agent/test_engine_executor.py
@@ -5,7 +5,7 @@
 from fescuechute.agent._engine import _MAX_LINE_BYTES, EngineExecutor
 from fescuechute.agent._work import WorkRow
 from fescuechute.net import ManualClock
-from fescuechute.wire import Accepted, Failed, Generate
+from fescuechute.wire import Accepted, Failed, Generate, Piece
 
 
 class FakeHttp:
@@ -23,8 +23,8 @@
         self.cancelled.append(call)
 
 
-def test_endless_line_of_an_engine_fails_the_request():
-    """Guards against an agent that buffers a line of the engine's answer until its memory is used up."""
+def start_request():
+    """Returns the parts of an executor that runs one request of at most five tokens."""
     sent, finished = [], []
     http = FakeHttp()
     node = SimpleNamespace(
@@ -39,9 +39,25 @@
     msg = Generate("r", 1, "m", "v", "", "", "w", "urgent", 9.0, "prompt", 5, (), "f", False)
     row = WorkRow("entry-1", msg)
     executor.start(row)
+    return http, sent, finished, row
+
+
+def test_endless_line_of_an_engine_fails_the_request():
+    """Guards against an agent that buffers a line of the engine's answer until its memory is used up."""
+    http, sent, finished, row = start_request()
     for _ in range(_MAX_LINE_BYTES // 65536 + 1):
         http.on_data(b"x" * 65536)
     assert finished == [row]
     assert (http.cancelled, http.paths) == (["/generate"], ["/generate", "/cancel"])
     assert [type(message) for message in sent] == [Accepted, Failed]
     assert row.partial_line == b""
+
+
+def test_more_tokens_than_requested_fail_the_request():
+    """Guards against an engine whose answer does not end, which the entry would collect."""
+    http, sent, finished, row = start_request()
+    for index in range(6):
+        http.on_data(b'{"i": %d, "t": "x"}\n' % index)
+    assert finished == [row]
+    assert http.cancelled == ["/generate"]
+    assert [type(message) for message in sent] == [Accepted, *[Piece] * 5, Failed]
