Do not send a request on a connection established after its deadline

A gateway that is stopped while it connects to a replica sends the request when it continues, seconds after its client may have left.

Cause: the deadline for connecting was checked by the tick only. After a stop, the event of the connection may come before the tick.

Evidence: test_request_is_not_sent_long_after_the_connection_was_started fails without the change.

Change: UpstreamClient checks the deadline before it sends; a late connection is closed unused and counts as not connected, so that another replica may get the request. Successors of a transfer are checked only where there are any.

--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -250,6 +250,10 @@
         return None
 
     def _send(self, call: UpstreamCall) -> None:
+        if not call.reused and self._clock.now() >= call.connect_deadline:
+            # The process was stopped while it connected; what it decided then may be outdated.
+            self._fail(call, CallFailure.NOT_CONNECTED, "connected too late")
+            return
         self._connecting.discard(call)
         request = call.request
         fields = list(request.headers)
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -186,16 +186,12 @@
                 self._stalls_at = now + STREAM_STALL_S
 
     def _check_start(self, now: float) -> None:
-        quarantined = self._dispatch.is_quarantined(self)
-        for successor in list(self._successors):
-            if quarantined:
-                self._cancel(successor, "quarantined")
-            elif not successor.status and self._must_not_start(successor, now):
-                self._cancel(successor, "version")
+        if self._successors:
+            self._cancel_forbidden_successors(now)
         attempt = self._attempt
         if attempt is None or attempt.status:
             return
-        if quarantined:
+        if self._dispatch.is_quarantined(self):
             self._cancel(attempt, "quarantined")
             self._fail(503, Reason.QUARANTINED)
             return
@@ -212,6 +208,14 @@
         if attempt.choice.row.is_overdue(self.allowed.rank, attempt.started_at):
             self._try_add_successor()
 
+    def _cancel_forbidden_successors(self, now: float) -> None:
+        quarantined = self._dispatch.is_quarantined(self)
+        for successor in list(self._successors):
+            if quarantined:
+                self._cancel(successor, "quarantined")
+            elif not successor.status and self._must_not_start(successor, now):
+                self._cancel(successor, "version")
+
     def _must_not_start(self, attempt: Attempt, now: float) -> bool:
         """Returns whether an attempt would start on a version that is no longer allowed."""
         # The head of any other response that must not be retried comes at its end, so whether the
--- a/tests/forwarding/test_upstreams.py
+++ b/tests/forwarding/test_upstreams.py
@@ -6,7 +6,8 @@
 import pytest
 
 from fescuechute.checks import Address
-from fescuechute.forwarding import OutboundRequest, header
+from fescuechute.forwarding import OutboundRequest, UpstreamClient, header
+from fescuechute.net import ManualClock
 from tests.forwarding.harness import (
     RawUpstream,
     RecordingListener,
@@ -115,6 +116,23 @@
         assert events == [("head", 200), ("failed", "broken")]
 
 
+def test_request_is_not_sent_long_after_the_connection_was_started():
+    """Guards against a request that leaves a stopped process after its client has left."""
+    upstream, listener, clock = RawUpstream(), RecordingListener(), ManualClock()
+    address = Address("127.0.0.1", upstream.port)
+    with running_loop(lambda _clock: UpstreamClient(clock)) as (loop, client):
+        client.tick = lambda _now: None
+
+        def call() -> None:
+            client.call("i-1", address, REQUEST, listener, matches_request, connect_timeout_s=0.4)
+            clock.advance(4.0)
+
+        loop.call_at(0.0, call)
+        conn = upstream.accept()
+        assert listener.next_event() == ("failed", "not_connected")
+        assert conn.recv(1) == b""
+
+
 def test_response_without_length_is_completed_by_a_close():
     """Guards against a complete response that counts as truncated."""
     upstream = RawUpstream()
