Call the stand-ins of the platform tests through one function

A second deployment of the tests, that of a stager, used a private method of the first. Both use call_standin now. No product code changed.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -142,7 +142,7 @@
 
     def withdraw(self, index: int) -> None:
         """Removes the registry entry of a replica."""
-        self._call(self.store.port, "PUT", f"/records/keyed.servers/i-{index}")
+        call_standin(self.store.port, "PUT", f"/records/keyed.servers/i-{index}")
 
     def register_engine(self, ip: str) -> None:
         """Writes the registry entry of an engine, which gets no requests in these tests."""
@@ -200,14 +200,14 @@
         self.put_record("keyed.op", "config", body)
 
     def put_record(self, topic: str, key: str, value: dict[str, Any]) -> None:
-        self._call(self.store.port, "PUT", f"/records/{topic}/{key}", value)
+        call_standin(self.store.port, "PUT", f"/records/{topic}/{key}", value)
 
     def set_faults(self, process: Any, **faults: Any) -> None:
-        self._call(process.port, "POST", "/faults", faults)
+        call_standin(process.port, "POST", "/faults", faults)
 
     def executed_requests(self) -> list[dict[str, Any]]:
         """Returns the requests that any replica executed."""
-        responses = [self._call(replica.port, "GET", "/runs") for replica in self.replicas]
+        responses = [call_standin(replica.port, "GET", "/runs") for replica in self.replicas]
         return [run for runs in responses for run in json.loads(runs)]
 
     def start(self) -> None:
@@ -309,14 +309,15 @@
             "platform": {"address": f"127.0.0.1:{self.store.port}"},
         }
 
-    @staticmethod
-    def _call(port: int, method: str, path: str, body: dict[str, Any] | None = None) -> bytes:
-        conn = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
-        data = None if body is None else json.dumps(body)
-        conn.request(method, path, body=data, headers={"Content-Type": "application/json"})
-        response = conn.getresponse()
-        assert response.status == 200, (path, response.status)
-        return response.read()
+
+def call_standin(port: int, method: str, path: str, body: dict[str, Any] | None = None) -> bytes:
+    """Calls a stand-in on this VM and returns the body of its response."""
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    data = None if body is None else json.dumps(body)
+    conn.request(method, path, body=data, headers={"Content-Type": "application/json"})
+    response = conn.getresponse()
+    assert response.status == 200, (path, response.status)
+    return response.read()
 
 
 def wait_until(condition, timeout_s: float = WAIT_S) -> float:
--- a/tests/platform/stager_deployment.py
+++ b/tests/platform/stager_deployment.py
@@ -9,7 +9,7 @@
 
 from standins.platform.engine import MODEL, Engine, Origin
 from tests.harness import Fleet
-from tests.platform.deployment import Deployment, wait_until
+from tests.platform.deployment import call_standin, wait_until
 
 CHUNKS = 24
 CHUNK_BYTES = 4096
@@ -90,7 +90,7 @@
         return [load for load in self.engine.loads if load.wrong]
 
     def _put(self, topic: str, key: str, value: dict) -> None:
-        Deployment._call(self.store.port, "PUT", f"/records/{topic}/{key}", value)
+        call_standin(self.store.port, "PUT", f"/records/{topic}/{key}", value)
 
     def _node_settings(self) -> dict:
         return {
--- a/tests/platform/test_gateway_process.py
+++ b/tests/platform/test_gateway_process.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment, wait_until
+from tests.platform.deployment import Deployment, call_standin, wait_until
 
 
 @pytest.fixture
@@ -109,10 +109,10 @@
         ),
         2.0,
     )
-    before = len(json.loads(deployment._call(deployment.replicas[0].port, "GET", "/runs")))
+    before = len(json.loads(call_standin(deployment.replicas[0].port, "GET", "/runs")))
     for number in range(8):
         assert deployment.send(request_id=f"r{number}").status == 200
-    after = len(json.loads(deployment._call(deployment.replicas[0].port, "GET", "/runs")))
+    after = len(json.loads(call_standin(deployment.replicas[0].port, "GET", "/runs")))
     assert after == before
 
 
--- a/tests/platform/test_registry_relay.py
+++ b/tests/platform/test_registry_relay.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment, StagerStandIn, wait_until
+from tests.platform.deployment import Deployment, StagerStandIn, call_standin, wait_until
 from tests.platform.test_configuration_relay import has_settled
 
 GATEWAYS = 5
@@ -50,7 +50,7 @@
 
 def reads(deployment):
     """Returns the calls and bytes of the registry that the store has served."""
-    return json.loads(deployment._call(deployment.store.port, "GET", "/reads"))[REGISTRY]
+    return json.loads(call_standin(deployment.store.port, "GET", "/reads"))[REGISTRY]
 
 
 def wait_for_all(deployment, gateways, event, **fields):
--- a/tests/platform/test_whole_weights.py
+++ b/tests/platform/test_whole_weights.py
@@ -1,4 +1,7 @@
-"""A stager and its engine: guards against tokens made with wrong weights."""
+"""A stager and its engine: guards against tokens made with wrong weights.
+
+The random test takes other seeds from the environment: `WEIGHT_SEEDS=1,2,3`.
+"""
 
 import os
 import random
@@ -11,8 +14,7 @@
 from tests.platform.deployment import wait_until
 from tests.platform.stager_deployment import CHUNK_BYTES, CHUNKS, StagerDeployment
 
-#: Seeds of the random test; more are given by hand in a list separated by commas.
-SEEDS = [int(seed) for seed in os.environ.get("WEIGHT_SEEDS", "1,2").split(",")]
+SEEDS = tuple(map(int, os.environ.get("WEIGHT_SEEDS", "1,2").split(",")))
 #: Seconds for which the random test injects faults, and within which the last version is then loaded.
 FAULTS_S = 12.0
 CALM_S = 15.0
