Download a declared version although the loaded one is only partly read back

A stager that starts beside a declaration never downloads the new version, so its engine gets no requests once the version binds.

Cause: the loaded version, partly read back from the engine, counted as a partial download to be completed first. Its last chunk came from the engine, and only chunks from peers and the origin caused a new choice of what to download, so nothing was wanted any more.

The new unit test fails without the change.

Change: only versions newer than the loaded one count as partial, and a chunk read back causes the same choice as one that was fetched.

--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -349,6 +349,8 @@
         if loaded is not None and loaded.digests is not None and index < len(loaded.digests):
             added = self.transfer.add(loaded.digests[index], data)
             self.telemetry.count("chunk.recovered" if added else "chunk.stale")
+            if added and not self.transfer.ring.missing:
+                self.transfer.set_wanted(self.versions.wanted_digests())
 
     def _request_manifests(self, now: float) -> None:
         origin_service = self._origin_service()
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -130,7 +130,7 @@
         partial = [
             state
             for state in self._states.values()
-            if state.version < newest.version
+            if self._loaded < state.version < newest.version
             and not self._is_superseded(state, newest)
             and state.is_started(self._held)
             and not state.is_complete(self._held)
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -65,6 +65,12 @@
             versions.set_manifest(version, digests)
         assert versions.wanted_digests() == wanted, name
 
+    def test_the_loaded_version_is_not_downloaded_before_a_newer_one(self):
+        """Guards against a stager that completes what its engine holds while a newer version waits."""
+        versions = version_plan({b"a"}, v1=(b"a", b"b"), v2=(b"c", b"d"))
+        versions.set_loaded(1)
+        assert versions.wanted_digests() == (b"c", b"d")
+
     def test_only_complete_versions_are_loaded(self):
         """Guards against an engine that loads partial weights."""
         held = {b"2a"}
