Name the successors' hand-over and the fault injector by what they do

Transfer._still_waits promotes a successor and asks for another one, which its name did not say; it is _continue_with_another now. The test class Troubles is FaultInjector. Behaviour is unchanged.

--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -296,7 +296,7 @@
         if failure is CallFailure.NOT_CONNECTED:
             # Nothing reached the replica, so another attempt is not a retry.
             self._tried.remove(attempt.instance)
-            if not self._still_waits():
+            if not self._continue_with_another():
                 self._send(str(failure), avoid=attempt.instance)
             return
         self.may_have_run = True
@@ -306,7 +306,7 @@
         assert attempt.meta is not None
         outcome = "misdirected" if attempt.meta.misdirected else "refused"
         self._end_attempt(attempt, outcome)
-        if self._still_waits():
+        if self._continue_with_another():
             return
         if self._has_attempts() and self._dispatch.try_spend_retry(self):
             self._send(outcome)
@@ -335,7 +335,7 @@
 
     def _replace_or_fail(self, cause: str) -> None:
         """Goes on with another attempt after one has ended, or fails the request."""
-        if self._still_waits():
+        if self._continue_with_another():
             return
         if self._acquire_retry():
             self._send(cause)
@@ -374,11 +374,14 @@
             self._cancel(successor, "superseded")
         return True
 
-    def _still_waits(self) -> bool:
-        """Returns whether another attempt is left after one has ended.
+    def _continue_with_another(self) -> bool:
+        """Goes on with an attempt that is left after another one has ended.
 
         If the attempt itself has ended, its oldest successor takes its place. If a successor has ended,
-        a stalled stream may get another one.
+        a stalled stream may get another one soon.
+
+        Returns:
+          Whether an attempt is left.
         """
         if self._attempt is not None:
             if self._stalls_at != float("inf"):
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -81,6 +81,7 @@
 #: Seconds for which a stopping stager keeps serving chunks to its peers.
 SHUTDOWN_GRACE_S = 0.3
 
+#: What the outcomes of the call mean to the planner.
 _ORDER_RESULTS = {
     LoadOrderOutcome.STARTED: OrderResult.ACCEPTED,
     LoadOrderOutcome.DONE: OrderResult.ACCEPTED,
--- a/tests/platform/test_whole_weights.py
+++ b/tests/platform/test_whole_weights.py
@@ -64,8 +64,8 @@
     assert deployment.wrong_loads() == []
 
 
-class Troubles:
-    """Random faults of an engine and its stager."""
+class FaultInjector:
+    """Injects random faults into an engine and its stager."""
 
     def __init__(self, deployment: StagerDeployment, seed: int):
         self._deployment = deployment
@@ -73,7 +73,7 @@
         self._rng = random.Random(seed)
 
     def inject(self) -> None:
-        """Injects one fault; it ends by the return, or lasts until it is drawn again."""
+        """Injects one fault; some last until the same kind is drawn again."""
         faults = [
             self.late, self.slow, self.twice, self.engine_stop, self.stager_stop, self.both_stop,
             self.crash, self.power_loss, self.corruption, self.kill,
@@ -123,14 +123,14 @@
     """Guards against wrong weights after faults that overlap, and against a stager that stops loading."""
     deployment = StagerDeployment(fleet, tmp_path, seed)
     deployment.start()
-    troubles, rng, version = Troubles(deployment, seed), random.Random(seed), 1
+    injector, rng, version = FaultInjector(deployment, seed), random.Random(seed), 1
     calm_at, next_version_at = time.monotonic() + FAULTS_S, 0.0
     while time.monotonic() < calm_at:
         if time.monotonic() >= next_version_at:
             version += 1
             deployment.declare(version)
             next_version_at = time.monotonic() + rng.uniform(0.3, 4.0)
-        troubles.inject()
+        injector.inject()
         time.sleep(rng.uniform(0.0, 0.6))
     deployment.engine.faults = EngineFaults()
     wait_until(lambda: deployment.engine.version == version, CALM_S)
