Log stops of a process, and the age of a load's chunks when its order is answered

The record shows calls to the store, peers and the engine that end as silent in one millisecond; whether the process or its servers stood still had to be concluded from that, and nothing told whether an order was answered late. Change: process.resumed with stopped_s, logged before the calls of the process time out; answered_s in order.

--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -39,6 +39,9 @@
 #: Seconds between two reads of the registry from the store; a draining replica must get no new
 #: requests after 2 s.
 REGISTRY_INTERVAL_S = 1.0
+#: Seconds between two ticks from which on the process is said to have been stopped. Calls of one process
+#: to several servers then time out together, which says nothing about the servers.
+STOPPED_AFTER_S = 1.0
 #: Maximum length of a traceback in a log line, in characters; its end is kept.
 _MAX_TRACE_CHARS = 2000
 #: Keys with malformed records that are logged; those of more keys are only counted.
@@ -109,6 +112,8 @@
             store_waits=False,
         )
         self.stopping = False
+        #: Unix seconds of the latest tick, None before the first.
+        self._ticked_at: float | None = None
         #: Reason of the last malformed record of each key that has one.
         self._invalid_reasons: dict[str, str] = {}
 
@@ -207,6 +212,9 @@
             self._log_exception(exc)
 
     def _tick(self, now: float) -> None:
+        if self._ticked_at is not None and now - self._ticked_at >= STOPPED_AFTER_S:
+            self.telemetry.event("process.resumed", stopped_s=round(now - self._ticked_at, 3))
+        self._ticked_at = now
         if self._reload_signalled or now >= self._next_settings_check_at:
             self._next_settings_check_at = now + SETTINGS_CHECK_INTERVAL_S
             self._reload()
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -278,6 +278,8 @@
                 reason=outcome,
                 detail=detail,
                 oldest_s=oldest_s,
+                # The age of the oldest verification now bounds that at the acceptance.
+                answered_s=round(self.clock.now() - command.oldest_verified_at, 3),
             )
             self.load_planner.on_order_ended(_ORDER_RESULTS[outcome])
 
