Show requests that run on a load whose order was read late

An engine that stops with an order unread accepts it seconds later and loads the chunks as they are then. The stager had read all of them back shortly before it sent the order, and gives the call up after 1 s. Once the engine runs again, it serves requests on chunks that have been corrupt for 3.7 s.

The tests start a gateway, a stager and stand-ins of the store, the origin and an engine that serves requests.

The gateway's log lines have no version for the attempts, so no request was bound to one.

--- a/standins/platform/engine.py
+++ b/standins/platform/engine.py
@@ -38,9 +38,26 @@
     method: str
     path: str
     query: dict[str, str]
+    #: Header fields with names in lower case.
+    headers: dict[str, str]
     body: bytes
 
 
+@attrs.frozen
+class Response:
+    """A response of a server."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the response."""
+        fields = {"Content-Length": str(len(self.body)), **self.headers}
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        return f"HTTP/1.1 {self.status} X\r\n{head}\r\n".encode() + self.body
+
+
 @attrs.define
 class EngineFaults:
     """Faults of the engine; the defaults mean none."""
@@ -70,6 +87,11 @@
     wrong: dict[int, str]
 
 
+def is_unloading(order: dict) -> bool:
+    """Returns whether an order leaves the engine without layers of the model."""
+    return order.get("from", 0) == order.get("to", -1)
+
+
 class Server:
     """An HTTP server that carries out the requests of each connection in order."""
 
@@ -96,8 +118,8 @@
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RDWR)
 
-    def answer(self, request: Request) -> tuple[int, bytes]:
-        """Returns the status and the body of a response."""
+    def answer(self, request: Request) -> Response:
+        """Returns the response to a request."""
         raise NotImplementedError
 
     def is_answered_twice(self) -> bool:
@@ -126,10 +148,9 @@
                     conn.sendall(extra)
                 for part in self.endless_response(request.path):
                     conn.sendall(part)
-                status, body = self.answer(request)
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-                conn.sendall(head.encode() + body)
-                extra = head.encode() + body if self.is_answered_twice() else b""
+                data = self.answer(request).encode()
+                conn.sendall(data)
+                extra = data if self.is_answered_twice() else b""
         self.connections.discard(conn)
 
 
@@ -137,17 +158,17 @@
     line = file.readline().decode("latin-1").split()
     if len(line) != 3:
         return None
-    length = 0
-    while (field := file.readline().strip()) != b"":
-        name, _, value = field.partition(b":")
-        if name.lower() == b"content-length":
-            length = int(value)
+    headers = {}
+    while (field := file.readline().decode("latin-1").strip()) != "":
+        name, _, value = field.partition(":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", "0"))
     body = file.read(length)
     if len(body) < length:
         return None
     parts = urlsplit(line[1])
     query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-    return Request(line[0], parts.path, query, body)
+    return Request(line[0], parts.path, query, headers, body)
 
 
 class Origin(Server):
@@ -158,21 +179,29 @@
         self._chunks = chunks
         self._chunk_bytes = chunk_bytes
 
-    def answer(self, request: Request) -> tuple[int, bytes]:
+    def answer(self, request: Request) -> Response:
         version = int(request.query["version"])
         if "/manifest/" not in request.path:
-            return 200, chunk(version, int(request.query["num"]), self._chunk_bytes)
+            return Response(200, chunk(version, int(request.query["num"]), self._chunk_bytes))
         data = [chunk(version, index, self._chunk_bytes) for index in range(self._chunks)]
         digests = [hashlib.sha256(part).hexdigest() for part in data]
         body = {"model": MODEL, "version": version, "chunk_bytes": self._chunk_bytes}
-        return 200, json.dumps({**body, "layers": self._chunks, "digests": digests}).encode()
+        body |= {"layers": self._chunks, "digests": digests}
+        return Response(200, json.dumps(body).encode())
 
 
 class Engine(Server):
-    """A model engine that holds version 1, which is also staged."""
-
-    def __init__(self, chunks: int, chunk_bytes: int, seed: int = 0, load_s: float = 0.05):
-        super().__init__()
+    """A model engine that holds version 1, which is also staged; each chunk is a layer."""
+
+    def __init__(
+        self,
+        chunks: int,
+        chunk_bytes: int,
+        seed: int = 0,
+        load_s: float = 0.05,
+        ip: str = "127.0.0.1",
+    ):
+        super().__init__(ip)
         self._chunks = chunks
         self._chunk_bytes = chunk_bytes
         self._load_s = load_s
@@ -183,11 +212,13 @@
         self.running.set()
         self._born_ms = int(time.time() * 1000)
         self.version = 1
-        self._sequence = 1
+        self._sequence = 0
         self._loading_until = 0.0
         self.staged = {index: chunk(1, index, chunk_bytes) for index in range(chunks)}
         self._corrupt_since: dict[int, float] = {}
         self.loads: list[Load] = []
+        #: The load that the engine holds, None without a loaded version.
+        self.held: Load | None = Load(1, {})
         #: Number of responses without end that were started.
         self.endless_calls = 0
         self.puts = 0
@@ -204,7 +235,7 @@
         """Crashes and restarts without a loaded version; a loss of power also drops staged chunks."""
         with self._lock:
             self._born_ms = int(time.time() * 1000)
-            self.version, self._sequence, self._loading_until = 0, 0, 0.0
+            self.version, self._sequence, self._loading_until, self.held = 0, 0, 0.0, None
             if not keeps_staged:
                 self.staged.clear()
                 self._corrupt_since.clear()
@@ -220,7 +251,7 @@
     def is_answered_twice(self) -> bool:
         return self._rng.random() < self.faults.twice_share
 
-    def answer(self, request: Request) -> tuple[int, bytes]:
+    def answer(self, request: Request) -> Response:
         born_ms = self._born_ms
         is_put = "/stage-put/" in request.path
         is_late = is_put and self._rng.random() < self.faults.late_share
@@ -233,24 +264,32 @@
                 return self._put(int(request.query["num"]), request.body)
             if "/stage-get/" in request.path:
                 data = self.staged.get(int(request.query["num"]))
-                return (404, b"") if data is None else (200, data)
+                return Response(404) if data is None else Response(200, data)
             if request.path.endswith("/order"):
-                return self._order(json.loads(request.body))
-            return 200, json.dumps(self._report()).encode()
+                return Response(self._order(json.loads(request.body)), b"{}")
+            return Response(200, json.dumps(self.report()).encode())
 
-    def _put(self, index: int, data: bytes) -> tuple[int, bytes]:
+    def _put(self, index: int, data: bytes) -> Response:
         if self._rng.random() >= self.faults.dropped_share:
             self.staged[index] = data
             self._corrupt_since.pop(index, None)
             self.puts += 1
-        return 200, b""
+        return Response(200)
 
-    def _order(self, order: dict) -> tuple[int, bytes]:
+    def _order(self, order: dict) -> int:
         version, now = order["version"], time.monotonic()
         if now < self._loading_until or order.get("precondition", self._sequence) != self._sequence:
-            return 409, b"{}"
+            return 409
+        if is_unloading(order):
+            if version != self.version:
+                return 409
+            self.version, self.held = 0, None
+            self._sequence += 1
+            return 202
+        if order.get("from", 0) != 0 or order.get("to", self._chunks) != self._chunks:
+            return 400
         if version == self.version:
-            return 200, b"{}"
+            return 200
         wrong = {}
         for index in range(self._chunks):
             data = self.staged.get(index)
@@ -261,12 +300,14 @@
                 wrong[index] = "missing" if data is None else "of another version"
             elif corrupt_s > MAX_CORRUPT_S:
                 wrong[index] = f"corrupt for {corrupt_s:.2f} s"
-        self.loads.append(Load(version, wrong))
+        self.held = Load(version, wrong)
+        self.loads.append(self.held)
         self.version, self._loading_until = version, now + self._load_s
         self._sequence += 1
-        return 202, b"{}"
+        return 202
 
-    def _report(self) -> dict:
+    def report(self) -> dict:
+        """Returns the engine's report."""
         models = [{"name": MODEL, "version": self.version, "adapters": []}] if self.version else []
         return {
             "stage": "combined", "models": models, "busy": time.monotonic() < self._loading_until,
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -285,29 +285,33 @@
         return matching()[0]
 
     def _node_settings(self, ip: str = "", node: str = "front-1") -> dict[str, Any]:
-        ip = ip or self._ip
-        return {
-            "node_name": node,
-            "ip": ip,
-            "zone": "z",
-            "region": "r",
-            "zones": {"z": "r"},
-            "listen_addrs": {"front": f"{ip}:18005", "ready_addr": f"{ip}:18002"},
-            "port_range": [PEER_PORT, PEER_PORT + 15],
-            "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0},
-            "bounds": {
-                "drain_ms": 2000,
-                "grace_s": 8,
-                "config_apply_ms": 2000,
-                "strict_revoke": True,
-                "revoke_ms": 5000,
-                "version_ms": 8000,
-                "retry_ratio": 0.2,
-                "retry_burst": 100,
-                "retry_window_s": 10,
-            },
-            "platform": {"address": f"127.0.0.1:{self.store.port}"},
-        }
+        return gateway_settings(ip or self._ip, node, self.store.port)
+
+
+def gateway_settings(ip: str, node: str, store_port: int) -> dict[str, Any]:
+    """Returns the settings of a gateway."""
+    return {
+        "node_name": node,
+        "ip": ip,
+        "zone": "z",
+        "region": "r",
+        "zones": {"z": "r"},
+        "listen_addrs": {"front": f"{ip}:18005", "ready_addr": f"{ip}:18002"},
+        "port_range": [PEER_PORT, PEER_PORT + 15],
+        "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0},
+        "bounds": {
+            "drain_ms": 2000,
+            "grace_s": 8,
+            "config_apply_ms": 2000,
+            "strict_revoke": True,
+            "revoke_ms": 5000,
+            "version_ms": 8000,
+            "retry_ratio": 0.2,
+            "retry_burst": 100,
+            "retry_window_s": 10,
+        },
+        "platform": {"address": f"127.0.0.1:{store_port}"},
+    }
 
 
 def call_standin(port: int, method: str, path: str, body: dict[str, Any] | None = None) -> bytes:
--- a/tests/platform/stager_deployment.py
+++ b/tests/platform/stager_deployment.py
@@ -15,7 +15,8 @@
 CHUNK_BYTES = 4096
 #: Seconds within which a declared version is loaded by an engine without faults.
 LOAD_S = 20.0
-_LOOPBACK_IPS = (
+#: Loopback addresses for VMs of this test process, which all use the same ports.
+LOOPBACK_IPS = (
     f"127.{os.getpid() >> 8 & 127}.{os.getpid() & 255}.{n}" for n in itertools.count(120)
 )
 
@@ -27,10 +28,10 @@
         self._fleet = fleet
         self._settings = directory / "side.json"
         self._starts = 0
-        self._ip = next(_LOOPBACK_IPS)
+        self.ip = next(LOOPBACK_IPS)
         self.store = fleet.spawn_module("standins.platform.store", name="store")
         self.origin = Origin(CHUNKS, CHUNK_BYTES)
-        self.engine = Engine(CHUNKS, CHUNK_BYTES, seed)
+        self.engine = self.make_engine(seed)
         self.stager = None
 
     def start(self) -> None:
@@ -38,6 +39,17 @@
         self.origin.start()
         self.engine.start()
         self._settings.write_text(json.dumps(self._node_settings()))
+        self.put_record("keyed.op", "config", self.configuration())
+        self.register()
+        self.start_stager()
+        wait_until(lambda: bool(self.lines("engine.version")), LOAD_S)
+
+    def make_engine(self, seed: int) -> Engine:
+        """Returns the engine, which is not started yet."""
+        return Engine(CHUNKS, CHUNK_BYTES, seed)
+
+    def configuration(self) -> dict:
+        """Returns the configuration."""
         engine = {
             "slots": 4, "kv_capacity": 1000, "step_ms": 8, "read_per_s": 1000,
             "models": [{"name": MODEL}], "chunks": CHUNKS, "chunk_bytes": CHUNK_BYTES,
@@ -46,11 +58,12 @@
             {"name": "lm", "engine": engine},
             {"name": "weights", "origin": self.origin.address, "zone": "z", "max_conns": 48},
         ]
-        self._put("keyed.op", "config", {"version": 1, "routes": [], "services": services})
+        return {"version": 1, "routes": [], "services": services}
+
+    def register(self) -> None:
+        """Writes the registry entry of the engine."""
         entry = {"service": "lm", "address": self.engine.address, "zone": "z", "state": "ready"}
-        self._put("keyed.servers", "i-0", entry)
-        self.start_stager()
-        wait_until(lambda: bool(self.lines("engine.version")), LOAD_S)
+        self.put_record("keyed.servers", "i-0", entry)
 
     def start_stager(self) -> None:
         """Starts the stager process, at first or after it was killed."""
@@ -70,7 +83,7 @@
 
     def declare(self, version: int) -> None:
         """Declares a version of the model."""
-        self._put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
+        self.put_record("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
 
     def wait_loaded(self, version: int) -> None:
         """Waits until the engine has loaded a version."""
@@ -89,13 +102,14 @@
         """Returns the loads of the engine that took a wrong chunk."""
         return [load for load in self.engine.loads if load.wrong]
 
-    def _put(self, topic: str, key: str, value: dict) -> None:
+    def put_record(self, topic: str, key: str, value: dict) -> None:
+        """Writes a record of the store."""
         call_standin(self.store.port, "PUT", f"/records/{topic}/{key}", value)
 
     def _node_settings(self) -> dict:
         return {
             "node_name": "side-1",
-            "ip": self._ip,
+            "ip": self.ip,
             "zone": "z",
             "region": "r",
             "zones": {"z": "r"},
