Name the version of the weights in each request to an engine

Change: the version that the replica was chosen for is always named; an engine with another one refuses with 421. Tests: tests/gateway/test_choice.py expected no version before the bound; it now expects the chosen one, which is as strict.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -59,7 +59,7 @@
     #: Estimated seconds to the first event (without an engine profile: relative load, scaled to
     #: seconds) plus the costs of distance and failures.
     cost_s: float
-    #: Version that the replica must have loaded, or None for any.
+    #: Version that the replica must have loaded, None for a request without a model.
     version: int | None
     #: Number of eligible replicas.
     candidates: int
@@ -130,7 +130,8 @@
             best = self._cheapest(candidates)
         if best is None:
             return None
-        version = best.row.versions.get(requirements.model) if evaluation.required else None
+        # The engine may load other weights before the request starts.
+        version = best.row.versions.get(requirements.model) if requirements.model else None
         return Choice(best.row, best.cost_s, version, len(candidates))
 
     def record_send(self, service: str, now: float) -> None:
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -80,14 +80,14 @@
 def test_engine_without_weights_is_not_chosen():
     """Guards against requests to an engine that has no weights loaded."""
     assert ChooserHarness(a=0).choose() is None
-    assert ChooserHarness(a=0, b=1).choose() == ("b", None)
+    assert ChooserHarness(a=0, b=1).choose() == ("b", 1)
 
 
 def test_old_version_is_chosen_until_the_bound():
     """Guards against refusals before the bound, and against old weights after it."""
     harness = ChooserHarness(a=1)
     harness.versions.declare("m", 2, earliest_declared_at=10.0)
-    assert harness.choose(now=17.0) == ("a", None)
+    assert harness.choose(now=17.0) == ("a", 1)
     assert harness.choose(now=17.5) is None
     load(harness, "a", 0, version=2)
     assert harness.choose(now=17.5) == ("a", 2)
@@ -107,7 +107,7 @@
     harness = ChooserHarness(a=1, b=1)
     load(harness, "a", 0, loading=True)
     load(harness, "b", 12)
-    assert harness.choose() == ("b", None)
+    assert harness.choose() == ("b", 1)
 
 
 @pytest.mark.parametrize(
@@ -126,8 +126,8 @@
     harness = ChooserHarness(a=1, b=1)
     load(harness, "a", 4, relative_step_time=4.0)
     load(harness, "b", 8)
-    assert harness.choose() == ("b", None)
-    assert harness.choose(excluded=("b",)) == ("a", None)
+    assert harness.choose() == ("b", 1)
+    assert harness.choose(excluded=("b",)) == ("a", 1)
 
 
 def test_engine_that_fails_requests_is_chosen_last():
@@ -136,7 +136,7 @@
     load(harness, "b", 10)
     for _ in range(5):
         harness.table.get("a").record_failure()
-    assert harness.choose() == ("b", None)
+    assert harness.choose() == ("b", 1)
 
 
 def test_engine_that_does_not_start_requests_is_not_chosen():
@@ -167,7 +167,7 @@
     """Guards against a request that waits at a full engine and then starts on old weights."""
     harness = ChooserHarness(a=1)
     harness.versions.declare("m", 2, earliest_declared_at=10.0)
-    assert harness.choose(now=16.9) == ("a", None)
+    assert harness.choose(now=16.9) == ("a", 1)
     harness.table.get("a").unstarted["an attempt"] = 16.0
     assert harness.choose(now=16.9) is None
 
