Send no request to an engine whose load may not be whole

Cause: an order takes effect when the engine accepts it, and loads what is staged then. The age of the chunks was checked when the order was sent; the version that the engine or the registry reported was taken for proof of the load. An engine that stood still with the order unread for 4 s loaded chunks that had been corrupt for 3.7 s. Change: LoadVerification in the stager. A load is verified if its order was answered within 3 s of the oldest verification of a chunk, by the engine that was asked; otherwise if all chunks, none of them staged since, are read back after the acceptance. Load messages name the load and its state; gateways use an unverified load never, one of an earlier stager only if they know of no other verified one, and the registry only for an engine without a stager's report. New engines are greeted at once. An order answered with 200 says nothing of the load in effect.

--- a/fescuechute/catalog/_types.py
+++ b/fescuechute/catalog/_types.py
@@ -195,6 +195,17 @@
     born_ms: int = 0
 
 
+class LoadState(enum.StrEnum):
+    """What is known of the weights that an engine holds."""
+
+    #: All chunks were whole when the engine took them.
+    VERIFIED = "verified"
+    #: Some chunks may not have been whole; the engine must get no requests.
+    UNVERIFIED = "unverified"
+    #: They were loaded on an order of a stager that ran before.
+    UNKNOWN = "unknown"
+
+
 @attrs.frozen
 class EngineReport:
     """Load report of an engine."""
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -409,6 +409,9 @@
                 state=entry.state,
                 offset=record.offset,
             )
+        if previous is None or previous.models != entry.models:
+            # If it is an engine, its stager tells whether its weights were loaded whole.
+            self.load_listener.greet_soon(entry.address.ip)
         if previous is not None and previous.address != entry.address:
             self.upstream_client.close_idle(entry.instance)
 
--- a/fescuechute/gateway/_loads.py
+++ b/fescuechute/gateway/_loads.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from fescuechute.catalog import EngineReport, LoadedModel
+from fescuechute.catalog import EngineReport, LoadedModel, LoadState
 from fescuechute.gateway._subset import SubsetSelector
 from fescuechute.gateway._upstreams import UpstreamTable
 from fescuechute.membership import duty_holders
@@ -52,6 +52,8 @@
         self._send = send
         self._next_greet_at = 0.0
         self._next_far_greet_at = 0.0
+        #: IP addresses of the stagers to greet at the next tick.
+        self._greet_soon: set[str] = set()
         #: IP addresses of the stagers that count all gateways.
         self.counting_stagers: frozenset[str] = frozenset()
         #: Latest count of each counting stager and the unix seconds at which it expires, by address.
@@ -63,24 +65,34 @@
 
     def tick(self, now: float) -> None:
         """Greets the stagers to which a greeting is due."""
-        if now < self._next_greet_at:
+        renews = now >= self._next_greet_at
+        if not renews and not self._greet_soon:
             return
-        self._next_greet_at = now + NEAR_GREET_INTERVAL_S
-        self._counts = {ip: known for ip, known in self._counts.items() if known[1] > now}
         near = self._subsets.near_engine_ips()
         ips = {row.entry.address.ip for row in self._upstreams if row.entry.models}
         self.counting_stagers = counting = frozenset(
             duty_holders("gateways", ips, COUNTING_STAGERS)
         )
-        due = near | counting
-        if now >= self._next_far_greet_at:
-            self._next_far_greet_at = now + FAR_GREET_INTERVAL_S
-            due = ips
-        for ip in due & ips:
+        # An engine without weights is known by the reports of its stager.
+        ips |= {row.entry.address.ip for row in self._upstreams if row.reported_at}
+        greet_soon, self._greet_soon = self._greet_soon, set()
+        due: set[str] = set()
+        if renews:
+            self._next_greet_at = now + NEAR_GREET_INTERVAL_S
+            self._counts = {ip: known for ip, known in self._counts.items() if known[1] > now}
+            due = near | counting
+            if now >= self._next_far_greet_at:
+                self._next_far_greet_at = now + FAR_GREET_INTERVAL_S
+                due = ips
+        for ip in (due & ips) | greet_soon:
             interval_ms = NEAR_REPORT_INTERVAL_MS if ip in near else FAR_REPORT_INTERVAL_MS
             greeting = Greet(self._process_id, self._ip, self._port, interval_ms, ip in counting)
             self._send((ip, self._port), greeting)
 
+    def greet_soon(self, ip: str) -> None:
+        """Greets the stager on one VM at the next tick; later ticks renew the greeting."""
+        self._greet_soon.add(ip)
+
     def receive(self, sender: tuple[str, int], msg: Message, now: float) -> None:
         """Applies a message from a stager."""
         if isinstance(msg, Load):
@@ -90,13 +102,24 @@
 
     def _apply_load(self, msg: Load, now: float) -> None:
         row = self._upstreams.at_address(msg.ip, msg.port)
-        if row is None or (row.entry.born_ms and msg.born_ms != row.entry.born_ms):
+        if row is None:
+            return
+        if row.entry.born_ms and msg.born_ms != row.entry.born_ms:
+            if msg.born_ms > row.entry.born_ms:
+                row.record_restart()
             return
         models = tuple(LoadedModel(name, version) for name, version in msg.versions)
-        row.apply_report(
-            EngineReport(
-                models, msg.loading, 0, msg.waiting, msg.running, 0, 0, msg.pace, msg.born_ms
-            ),
-            now,
-            msg.near_gateways - self._subsets.is_near(row),
+        orders = None if msg.orders < 0 else msg.orders
+        report = EngineReport(
+            models, msg.loading, orders, msg.waiting, msg.running, 0, 0, msg.pace, msg.born_ms
         )
+        other_gateways = msg.near_gateways - self._subsets.is_near(row)
+        row.apply_report(report, now, other_gateways, _load_state(msg.load_state))
+
+
+def _load_state(value: str) -> LoadState:
+    try:
+        return LoadState(value)
+    except ValueError:
+        # A state that a newer stager may add.
+        return LoadState.UNKNOWN
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fescuechute.catalog import EngineReport, Registration, UpstreamState
+from fescuechute.catalog import EngineReport, LoadState, Registration, UpstreamState
 
 #: Seconds for which an unreachable replica gets no requests. The time doubles with each consecutive
 #: failure, up to the maximum. A crashed replica is back after some seconds.
@@ -53,8 +53,11 @@
     relative_step_time: float = 1.0
     #: Whether the engine is executing an order; it accepts no requests until the order is done.
     loading: bool = False
-    #: Loaded version by model, from the latest report or registry entry.
+    #: Loaded version by model that may be used, from the latest report of the stager on its VM. Before
+    #: the first one it is that of the registry entry, which does not tell whether it was loaded whole.
     versions: dict[str, int] = attrs.field(factory=dict)
+    #: Start time and accepted orders of the engine when its weights were verified, or None.
+    verified_load: tuple[int, int | None] | None = None
     #: Whether the replica has stated in a response that it is leaving; it gets no more requests.
     leaving: bool = False
     #: Unix seconds until which the replica wants no requests from this gateway, by its `Retry-After`.
@@ -122,15 +125,45 @@
         """Returns the seconds since the oldest attempt whose response has not started was sent."""
         return now - next(iter(self.unstarted.values()), now)
 
-    def apply_report(self, report: EngineReport, now: float, other_gateway_count: int = 0) -> None:
-        """Applies a load report of the engine."""
+    def apply_report(
+        self,
+        report: EngineReport,
+        now: float,
+        other_gateway_count: int = 0,
+        load_state: LoadState = LoadState.UNKNOWN,
+    ) -> None:
+        """Applies a load report of the engine.
+
+        Args:
+          report: The report.
+          now: Unix seconds.
+          other_gateway_count: Number of other gateways that use the replica before others.
+          load_state: What the stager knows of the loaded weights.
+        """
         self.other_in_flight = max(0, report.running + report.waiting - self.in_flight)
         self.other_waiting = max(0, report.waiting - len(self.unstarted))
         self.other_gateway_count = other_gateway_count
         self.reported_at = now
         self.relative_step_time = report.relative_step_time
         self.loading = report.loading
-        self.versions = {model.name: model.version for model in report.models}
+        load = report.born_ms, report.orders
+        if load_state is LoadState.VERIFIED:
+            self.verified_load = load
+        if self._is_usable(load, load_state):
+            self.versions = {model.name: model.version for model in report.models}
+        else:
+            self.versions = {}
+
+    def _is_usable(self, load: tuple[int, int | None], state: LoadState) -> bool:
+        """Returns whether requests may run on the weights of a load."""
+        if self.verified_load is None:
+            return state is not LoadState.UNVERIFIED
+        # A restarted stager does not know what the one before has verified.
+        return load == self.verified_load
+
+    def record_restart(self) -> None:
+        """Records that the engine has restarted, before the registry shows it."""
+        self.versions = {}
 
     def record_success(self) -> None:
         """Records a request to which the replica responded."""
@@ -186,19 +219,21 @@
         row = self._rows.get(entry.instance)
         is_new = row is None or (row.entry.born_ms != entry.born_ms and entry.born_ms > 0)
         if row is None or is_new:
+            had_stager = row is not None and row.reported_at > 0
             if row is not None:
                 self._unindex(row)
             row = UpstreamRow(
                 entry, self._region_by_data_centre.get(entry.data_centre, entry.data_centre)
             )
-            row.versions = {model.name: model.version for model in entry.models}
+            if not had_stager:
+                row.versions = {model.name: model.version for model in entry.models}
             row.leaving = self._left.get(entry.instance) == entry.born_ms
             self._rows[entry.instance] = row
         else:
             row.expires_at = None
             if entry == row.entry:
                 return False
-            if entry.models != row.entry.models:
+            if entry.models != row.entry.models and not row.reported_at:
                 row.versions = {model.name: model.version for model in entry.models}
             self._unindex(row)
             row.entry = entry
--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -88,7 +88,36 @@
         body["switch_mode"] = "queue"
         if expected_orders is not None:
             body["precondition"] = expected_orders
+        self._order(body, on_end, send_deadline)
 
+    def order_unload(
+        self,
+        model: str,
+        version: int,
+        on_end: Callable[[LoadOrderOutcome, str], None],
+        *,
+        expected_orders: int,
+    ) -> None:
+        """Orders the engine to drop a loaded version after its active requests have finished.
+
+        Args:
+          model: Name of the model.
+          version: The loaded version.
+          on_end: Called with the outcome and a text for the log.
+          expected_orders: Number of orders that the engine must have accepted before.
+        """
+        # An order for the loaded version with all layers would change nothing.
+        body: dict[str, object] = {"operation": "start", "model": model, "version": version}
+        body |= {"switch_mode": "queue"}
+        body |= {"from": 0, "to": 0, "precondition": expected_orders}
+        self._order(body, on_end)
+
+    def _order(
+        self,
+        body: dict[str, object],
+        on_end: Callable[[LoadOrderOutcome, str], None],
+        send_deadline: float = float("inf"),
+    ) -> None:
         def on_result(result: HttpResult) -> None:
             on_end(*_classify_order_result(result))
 
--- a/fescuechute/stager/__init__.py
+++ b/fescuechute/stager/__init__.py
@@ -11,6 +11,12 @@
     VerifyChunk,
 )
 from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.stager._load_verification import (
+    LoadId,
+    LoadVerification,
+    ReadLoadedChunk,
+    UnloadEngine,
+)
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan, VersionState
@@ -19,14 +25,18 @@
     "ChunkLocation",
     "ChunkTransfer",
     "CrashRelay",
+    "LoadId",
     "LoadPlanner",
     "LoadReporter",
+    "LoadVerification",
     "ManifestExchange",
     "OrderLoad",
     "OrderResult",
+    "ReadLoadedChunk",
     "Recovery",
     "StageChunk",
     "StagerDaemon",
+    "UnloadEngine",
     "VerifyChunk",
     "VersionPlan",
     "VersionState",
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import singledispatchmethod
 
 from fescuechute.catalog import (
     Configuration,
     EngineReport,
+    LoadState,
     Registration,
     Service,
     UpstreamState,
@@ -36,10 +38,12 @@
     LoadPlanner,
     OrderLoad,
     OrderResult,
+    PlannedCommand,
     StageChunk,
     VerifyChunk,
 )
 from fescuechute.stager._load_reporter import LoadReporter
+from fescuechute.stager._load_verification import ReadLoadedChunk, UnloadEngine
 from fescuechute.stager._manifests import ManifestExchange
 from fescuechute.stager._recovery import Recovery
 from fescuechute.stager._versions import VersionPlan
@@ -84,7 +88,7 @@
 #: What the outcomes of the call mean to the planner.
 _ORDER_RESULTS = {
     LoadOrderOutcome.STARTED: OrderResult.ACCEPTED,
-    LoadOrderOutcome.DONE: OrderResult.ACCEPTED,
+    LoadOrderOutcome.DONE: OrderResult.IN_EFFECT,
     LoadOrderOutcome.CONFLICT: OrderResult.REFUSED,
     LoadOrderOutcome.REFUSED: OrderResult.FAILED,
     LoadOrderOutcome.UNKNOWN: OrderResult.UNKNOWN,
@@ -167,6 +171,8 @@
         self._registry_known = False
         #: Latest report of the engine, or None while it does not respond.
         self._report: EngineReport | None = None
+        #: What is known of the engine's weights, as logged last.
+        self._load_state = LoadState.UNKNOWN
         self._next_report_at = 0.0
         self._report_in_flight = False
         #: Versions whose manifest was requested and has not arrived yet.
@@ -208,7 +214,7 @@
         self.transfer.tick()
         self._stage_and_load(now)
         self._log_progress(now)
-        self.load_reporter.tick(self._report, now)
+        self._report_load(now)
         self.crash_relay.tick(now)
         if now >= self._close_at:
             self.close("stopped")
@@ -228,15 +234,18 @@
             self.load_reporter.receive(msg, now)
 
     def _stage_and_load(self, now: float) -> None:
-        target = self.versions.to_load()
-        for command in self.load_planner.plan(target, self._report, now):
-            if isinstance(command, StageChunk):
-                self._stage_chunk(command)
-            elif isinstance(command, VerifyChunk):
-                self._verify_chunk(command)
-            else:
-                self._order_load(command)
-
+        target, loaded = self.versions.to_load(), self.versions.get(self.versions.loaded)
+        can_reload = loaded is not None and loaded.is_complete(self.transfer.store)
+        commands = self.load_planner.plan(target, self._report, now, loaded, can_reload)
+        self._log_load_state()
+        for command in commands:
+            self._execute(command)
+
+    @singledispatchmethod
+    def _execute(self, command: PlannedCommand) -> None:
+        raise TypeError(f"{command!r} is no command of the load planner.")
+
+    @_execute.register
     def _stage_chunk(self, command: StageChunk) -> None:
         data = self.transfer.store.get(command.digest)
         if data is None:
@@ -252,6 +261,7 @@
         self.load_planner.on_staged(index, error)
         self._stage_and_load(self.clock.now())
 
+    @_execute.register
     def _verify_chunk(self, command: VerifyChunk) -> None:
         index = command.index
 
@@ -266,6 +276,7 @@
         max_bytes = self.transfer.max_chunk_bytes
         self.engine.fetch_staged_chunk(self.model, index, on_read, max_bytes=max_bytes)
 
+    @_execute.register
     def _order_load(self, command: OrderLoad) -> None:
         version = command.version
         oldest_s = round(self.clock.now() - command.oldest_verified_at, 3)
@@ -291,6 +302,38 @@
             send_deadline=command.send_deadline,
         )
 
+    @_execute.register
+    def _read_loaded_chunk(self, command: ReadLoadedChunk) -> None:
+        def on_read(data: bytes | None) -> None:
+            self.load_planner.verification.record_read(
+                command,
+                None if data is None else sha256(data),
+                self.versions.get(self.versions.loaded),
+                frozenset(self.versions.retained_digests()),
+            )
+            self._stage_and_load(self.clock.now())
+
+        self._read_staged_chunk(command.index, on_read)
+
+    @_execute.register
+    def _order_unload(self, command: UnloadEngine) -> None:
+        def on_outcome(outcome: LoadOrderOutcome, detail: str) -> None:
+            self.telemetry.event(
+                "unload", model=self.model, version=command.version, reason=outcome, detail=detail
+            )
+            self.load_planner.on_unload_ended()
+
+        self.engine.order_unload(
+            self.model, command.version, on_outcome, expected_orders=command.expected_orders
+        )
+
+    def _log_load_state(self) -> None:
+        state = self.load_planner.verification.state
+        if state is not self._load_state:
+            self._load_state = state
+            version = self.versions.loaded
+            self.telemetry.event("load.state", reason=state, model=self.model, version=version)
+
     def _log_progress(self, now: float) -> None:
         missing = self.transfer.ring.missing
         if now >= self._next_progress_at and missing:
@@ -322,7 +365,12 @@
             self.telemetry.event("engine.version", model=self.model, version=version)
             self.versions.set_loaded(version)
             self._on_versions_changed()
-        self.load_reporter.tick(report, self.clock.now())
+        # The new report may show a load that no gateway may use.
+        self.load_planner.verification.observe(report)
+        self._report_load(self.clock.now())
+
+    def _report_load(self, now: float) -> None:
+        self.load_reporter.tick(self._report, self.load_planner.verification.state, now)
 
     # Chunks and manifests.
 
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -8,6 +8,12 @@
 import attrs
 
 from fescuechute.catalog import EngineReport
+from fescuechute.stager._load_verification import (
+    LoadId,
+    LoadVerification,
+    UnloadEngine,
+    VerificationCommand,
+)
 from fescuechute.stager._versions import VersionState
 
 #: Chunks that are staged, or read back, at the same time.
@@ -65,14 +71,16 @@
     send_deadline: float
 
 
-PlannedCommand = StageChunk | VerifyChunk | OrderLoad
+PlannedCommand = StageChunk | VerifyChunk | OrderLoad | VerificationCommand
 
 
 class OrderResult(enum.Enum):
     """What is known of an order after the call that sent it."""
 
-    #: The engine has accepted it, now or before.
+    #: The engine has accepted it.
     ACCEPTED = enum.auto()
+    #: The engine had done what it asks for before; the same order may have been accepted at any time.
+    IN_EFFECT = enum.auto()
     #: The engine has refused it because of its state, and will not accept it later.
     REFUSED = enum.auto()
     #: It was not sent, or refused for another reason.
@@ -81,12 +89,31 @@
     UNKNOWN = enum.auto()
 
 
+@attrs.frozen
+class _SentOrder:
+    """The latest order to load.
+
+    Attributes:
+      target: Version to load.
+      born_ms: Start time of the engine in unix milliseconds.
+      expected_orders: Number of orders that the engine had accepted, None if it does not report it.
+      oldest_verified_at: Unix seconds at which the oldest verification of a chunk started.
+    """
+
+    target: VersionState
+    born_ms: int
+    expected_orders: int | None
+    oldest_verified_at: float
+
+
 class LoadPlanner:
     """Decides which chunks to stage and when to order the load; the daemon executes both.
 
     Every staged chunk is read back before the order. A success of the call that staged it does not prove
     that the engine holds it: the response may belong to an earlier call on the connection, and an
-    earlier call that failed may be carried out later.
+    earlier call that failed may be carried out later. An order may also be accepted long after it was
+    sent, so `verification` tells whether the load that it started is whole; one that may not be is
+    replaced.
 
     Args:
       now: Returns unix seconds.
@@ -103,21 +130,26 @@
         #: Unix seconds at which the staging or verification in flight of a chunk started.
         self._in_flight: dict[int, float] = {}
         self._order_in_flight = False
-        #: Target of the latest order, with the orders that the engine had accepted before it.
-        self._ordered: tuple[VersionState, int | None] | None = None
+        self.verification = LoadVerification()
+        self._sent_order: _SentOrder | None = None
         self._paused_until = 0.0
         #: Version of the latest staging without a response of each chunk, and the unix seconds until
         #: which the engine may still carry it out.
         self._unanswered: dict[int, tuple[int, float]] = {}
-        #: Target of an order whose outcome is unknown, with the orders that the engine had accepted.
-        self._unknown_order: tuple[VersionState, int | None] | None = None
+        #: An order whose outcome is unknown.
+        self._unknown_order: _SentOrder | None = None
         #: Start time of the engine that holds the staged chunks, in unix milliseconds.
         self._engine_born_ms = 0
         #: Unix seconds since which this start of the engine is known.
         self._engine_known_since = float("-inf")
 
     def plan(
-        self, target: VersionState | None, report: EngineReport | None, now: float
+        self,
+        target: VersionState | None,
+        report: EngineReport | None,
+        now: float,
+        loaded: VersionState | None = None,
+        can_reload: bool = False,
     ) -> list[PlannedCommand]:
         """Returns the commands that are due.
 
@@ -125,8 +157,13 @@
           target: Complete version that the engine lacks, or None.
           report: Latest report of the engine, or None while it does not respond.
           now: Unix seconds.
+          loaded: Version that the engine holds, or None.
+          can_reload: Whether all chunks of that version are held.
         """
-        if report is None or report.loading:
+        if report is None:
+            return []
+        self.verification.observe(report)
+        if report.loading:
             return []
         if report.born_ms != self._engine_born_ms:
             # A restarted engine may have lost what was staged.
@@ -135,10 +172,10 @@
             self._unanswered.clear()
             self._unknown_order = None
         target = self._pinned_target(report) or target
-        if target is None or target.digests is None:
-            return []
         if self._order_in_flight or now < self._paused_until:
             return []
+        if target is None or target.digests is None:
+            return self._plan_verification(report, loaded, can_reload)
         if target.version != self._version:
             if self._in_flight:
                 return []
@@ -152,8 +189,10 @@
         ]
         if not pending and not self._in_flight:
             self._order_in_flight = True
-            self._ordered = target, report.orders
             oldest = min(self._verified_at.values())
+            self._sent_order = _SentOrder(target, report.born_ms, report.orders, oldest)
+            if self._unknown_order is None:
+                self.verification.record_order(self._may_be_staged_late(now))
             return [OrderLoad(target.version, report.orders, oldest, oldest + MAX_AGE_AT_ORDER_S)]
         due = [
             index
@@ -169,23 +208,36 @@
             if index in self._staged:
                 commands.append(VerifyChunk(index, digest))
             else:
+                self.verification.record_staging()
                 commands.append(StageChunk(target.version, index, digest))
         return commands
 
+    def _plan_verification(
+        self, report: EngineReport, loaded: VersionState | None, can_reload: bool
+    ) -> list[PlannedCommand]:
+        commands = self.verification.plan(report, loaded, can_reload)
+        self._order_in_flight = any(isinstance(command, UnloadEngine) for command in commands)
+        return list(commands)
+
     def _pinned_target(self, report: EngineReport) -> VersionState | None:
         """Returns the target of an order that the engine may still accept, None if there is none.
 
         Until it has accepted an order or refused this one, no other version may be staged.
         """
-        if self._unknown_order is not None and report.orders != self._unknown_order[1]:
-            self._unknown_order = None
-        return None if self._unknown_order is None else self._unknown_order[0]
+        order = self._unknown_order
+        if order is not None and report.orders != order.expected_orders:
+            order = self._unknown_order = None
+        return None if order is None else order.target
 
     def _may_be_replaced(self, index: int, now: float) -> bool:
         """Returns whether a late staging may still replace a chunk by one of another version."""
         version, until = self._unanswered.get(index, (self._version, 0.0))
         return version != self._version and now < until
 
+    def _may_be_staged_late(self, now: float) -> bool:
+        """Returns whether a staging without a response may still be carried out."""
+        return any(now < until for _, until in self._unanswered.values())
+
     def on_staged(self, index: int, error: str) -> None:
         """Records the result of staging a chunk; an empty `error` means success."""
         del self._in_flight[index]
@@ -208,17 +260,30 @@
             self._paused_until = max(self._paused_until, self._now() + MISMATCH_PAUSE_S)
 
     def on_order_ended(self, result: OrderResult) -> None:
-        """Records the result of an order."""
+        """Records the result of an order to load."""
         self._order_in_flight = False
+        order = self._sent_order
         if result is OrderResult.UNKNOWN:
-            self._unknown_order = self._ordered
+            self._unknown_order = order
         elif result is not OrderResult.FAILED:
             self._unknown_order = None
+        if (
+            result is OrderResult.ACCEPTED
+            and order is not None
+            and order.expected_orders is not None
+        ):
+            load = LoadId(order.born_ms, order.expected_orders + 1)
+            self.verification.record_acceptance(load, order.oldest_verified_at, self._now())
         # Until a report shows the effect, the engine would at best refuse another order.
-        settles = result in (OrderResult.ACCEPTED, OrderResult.UNKNOWN)
+        settles = result not in (OrderResult.REFUSED, OrderResult.FAILED)
         self._paused_until = self._now() + (ORDER_SETTLE_S if settles else FAILURE_PAUSE_S)
         self._discard_staged()
 
+    def on_unload_ended(self) -> None:
+        """Records the end of an order to unload; a report shows whether it took effect."""
+        self._order_in_flight = False
+        self._paused_until = self._now() + ORDER_SETTLE_S
+
     def _discard_staged(self) -> None:
         self._staged.clear()
         self._verified_at.clear()
--- a/fescuechute/stager/_load_reporter.py
+++ b/fescuechute/stager/_load_reporter.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fescuechute.catalog import EngineReport
+from fescuechute.catalog import EngineReport, LoadState
 from fescuechute.checks import Address
 from fescuechute.wire import Gateways, Greet, Load, Message
 
@@ -76,8 +76,14 @@
             if subscription.wants_count and subscription.expires_at > now
         }
 
-    def tick(self, report: EngineReport | None, now: float) -> None:
-        """Sends the load to each gateway to which a report is due."""
+    def tick(self, report: EngineReport | None, state: LoadState, now: float) -> None:
+        """Sends the load to each gateway to which a report is due.
+
+        Args:
+          report: Latest report of the engine, or None while it does not respond.
+          state: What is known of the weights that it holds.
+          now: Unix seconds.
+        """
         for process_id in [id_ for id_, s in self._subscriptions.items() if s.expires_at <= now]:
             del self._subscriptions[process_id]
         if report is None or not self._subscriptions:
@@ -92,6 +98,8 @@
             tuple((model.name, model.version) for model in report.models),
             report.born_ms,
             sum(s.interval_s <= MIN_INTERVAL_S for s in self._subscriptions.values()),
+            -1 if report.orders is None else report.orders,
+            state,
         )
         for subscription in self._subscriptions.values():
             if subscription.is_due(load, now):
--- a/fescuechute/wire/_messages.py
+++ b/fescuechute/wire/_messages.py
@@ -296,6 +296,10 @@
     born_ms: int
     #: Number of gateways that use this engine before others, the receiver included if it does.
     near_gateways: int
+    #: Number of orders that the engine has accepted since its start, -1 if unknown.
+    orders: int
+    #: What is known of the weights that the engine holds, as `LoadState`.
+    load_state: str
 
 
 @attrs.frozen
--- a/tests/gateway/test_loads.py
+++ b/tests/gateway/test_loads.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from fescuechute.catalog import EngineReport, LoadedModel
+from fescuechute.catalog import EngineReport, LoadedModel, LoadState
 from fescuechute.checks import Address
 from fescuechute.gateway import LoadListener, SubsetSelector
 from fescuechute.stager import LoadReporter
@@ -56,7 +56,7 @@
                 self.running[ip] += 1
                 models = (LoadedModel("m", 1),)
                 report = EngineReport(models, False, 0, 0, self.running[ip], 0, 0, 1.0, 5)
-                reporter.tick(report, self.now)
+                reporter.tick(report, LoadState.VERIFIED, self.now)
 
 
 def test_datagrams_grow_with_the_engines_and_not_with_the_gateways():
@@ -114,7 +114,7 @@
     times = []
     for step in range(100):
         report = EngineReport((), False, 0, 0, step // 20, 0, 0, 1.0, 5)
-        reporter.tick(report, step * STEP_S)
+        reporter.tick(report, LoadState.VERIFIED, step * STEP_S)
         times += [step * STEP_S] * len(sent)
         sent.clear()
     changes = [n * 20 * STEP_S for n in range(5)]
@@ -131,8 +131,37 @@
     listener._send = lambda to, msg: reporter.receive(msg, 0.0)
     listener.tick(0.0)
     report = EngineReport((), False, 0, 0, 1, 0, 0, 1.0, 5)
-    reporter.tick(report, 1.0)
+    reporter.tick(report, LoadState.VERIFIED, 1.0)
     assert isinstance(sent[-1], Load)
     sent.clear()
-    reporter.tick(report, 9.0)
+    reporter.tick(report, LoadState.VERIFIED, 9.0)
     assert sent == []
+
+
+def test_engine_that_restarted_is_not_used_before_the_registry_shows_it():
+    """Guards against requests to weights that an engine loaded after a restart and nobody has verified."""
+    network = Network({"z0": 1}, {"r0": 1})
+    listener, table = network.gateways["11.0.0.0"]
+    (row,) = table
+    address = row.entry.address
+    fields = (address.ip, address.port, 0, 0, 1.0, False, (("m", 2),))
+    born_ms = row.entry.born_ms
+    for born, versions in [(born_ms, {"m": 2}), (born_ms - 1, {"m": 2}), (born_ms + 1, {})]:
+        msg = Load(*fields, born, 0, 1, LoadState.VERIFIED)
+        listener.receive((address.ip, PORT), msg, 1.0)
+        assert row.versions == versions, born
+
+
+def test_new_engine_is_greeted_at_once():
+    """Guards against requests to a new engine before its stager has reported its load."""
+    sent = []
+    network = Network({"z0": 1}, {"r0": 1})
+    listener, _ = network.gateways["11.0.0.0"]
+    listener._send = lambda to, msg: sent.append(to[0])
+    listener.tick(0.0)
+    sent.clear()
+    listener.tick(0.05)
+    assert sent == []
+    listener.greet_soon("10.0.0.9")
+    listener.tick(0.1)
+    assert sent == ["10.0.0.9"]
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -1,8 +1,9 @@
 """Upstream table: guards against herding, stale entries and requests to unreachable replicas."""
 
+import attrs
 import pytest
 
-from fescuechute.catalog import EngineReport, LoadedModel, Registration, UpstreamState
+from fescuechute.catalog import EngineReport, LoadedModel, LoadState, Registration, UpstreamState
 from fescuechute.checks import Address
 from fescuechute.gateway import FirstEventModel, UpstreamTable
 from tests.gateway.test_choice import PROFILE
@@ -153,3 +154,45 @@
     assert rows.get("i-1").leaving
     rows.register(entry(born=6))
     assert not rows.get("i-1").leaving
+
+
+@pytest.mark.parametrize(
+    ("name", "states", "versions"),
+    [
+        ("verified", [(1, LoadState.VERIFIED)], {"m": 1}),
+        ("unverified", [(1, LoadState.UNVERIFIED)], {}),
+        ("loaded by an earlier stager", [(1, LoadState.UNKNOWN)], {"m": 1}),
+        ("next load unverified", [(0, LoadState.VERIFIED), (1, LoadState.UNVERIFIED)], {}),
+        ("next load unknown", [(0, LoadState.VERIFIED), (1, LoadState.UNKNOWN)], {}),
+        ("restarted stager", [(1, LoadState.VERIFIED), (1, LoadState.UNKNOWN)], {"m": 1}),
+        ("verified later", [(1, LoadState.UNVERIFIED), (1, LoadState.VERIFIED)], {"m": 1}),
+    ],
+)
+def test_only_loads_that_may_be_whole_are_used(name, states, versions):
+    """Guards against requests to an engine that may have loaded corrupt chunks."""
+    rows = table()
+    rows.register(entry())
+    row = rows.get("i-1")
+    for orders, state in states:
+        row.apply_report(attrs.evolve(report(), orders=orders), 1.0, load_state=state)
+    assert row.versions == versions, name
+
+
+def test_registry_does_not_replace_the_version_that_a_stager_reported():
+    """Guards against requests to an unverified load whose version the registry shows."""
+    rows = table()
+    rows.register(entry())
+    row = rows.get("i-1")
+    row.apply_report(report(), 1.0, load_state=LoadState.UNVERIFIED)
+    rows.register(entry(version=2))
+    assert row.versions == {}
+    rows.register(entry(version=2, born=6))
+    assert rows.get("i-1").versions == {}, "a restarted engine"
+
+
+def test_registry_names_the_version_of_an_engine_without_a_stager():
+    """Guards against an engine that gets no requests because no stager reports its load."""
+    rows = table()
+    rows.register(entry())
+    rows.register(entry(version=2))
+    assert rows.get("i-1").versions == {"m": 2}
