Treat an order that is answered with a server error as one of unknown outcome

A server error was taken for a refusal, so the next version could be staged while the engine still carried the order out, and its load held chunks of two versions. Change: statuses from 500 on are unknown outcomes.

--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -39,7 +39,7 @@
     CONFLICT = "conflict"
     #: Rejected for another reason or never sent; the engine did not start anything.
     REFUSED = "refused"
-    #: No response, so the engine may or may not have accepted the order.
+    #: No response or a server error, so the engine may or may not have accepted the order.
     UNKNOWN = "unknown"
 
 
@@ -260,7 +260,9 @@
         200: LoadOrderOutcome.DONE,
         409: LoadOrderOutcome.CONFLICT,
     }
-    return outcome_by_status.get(result.status, LoadOrderOutcome.REFUSED), detail
+    # An engine that fails after it has accepted an order may answer with a server error.
+    other = LoadOrderOutcome.UNKNOWN if result.status >= 500 else LoadOrderOutcome.REFUSED
+    return outcome_by_status.get(result.status, other), detail
 
 
 def _failure_reason(result: HttpResult) -> str:
