Await late stagings of earlier versions and of an earlier stager

A staging without a response may be carried out up to 3 s late and put a chunk of another version in the place of a verified one. Only the latest version of a chunk was remembered, and a stager that was killed with stagings in flight left nothing to its successor. Change: each version's deadline is kept, and a stager verifies chunks 3 s after its start at the earliest; a download of a version takes longer on all sites. Tests: test_late_stagings_of_two_versions_are_awaited and test_chunks_are_verified_once_late_stagings_of_an_earlier_stager_have_passed fail on the commit before.

--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -133,9 +133,11 @@
         self.verification = LoadVerification()
         self._sent_order: _SentOrder | None = None
         self._paused_until = 0.0
-        #: Version of the latest staging without a response of each chunk, and the unix seconds until
-        #: which the engine may still carry it out.
-        self._unanswered: dict[int, tuple[int, float]] = {}
+        #: Unix seconds until which the engine may still carry out the latest staging without a response,
+        #: by chunk and version.
+        self._unanswered: dict[int, dict[int, float]] = {}
+        #: Unix seconds until which it may still carry out a staging of a stager that ran before.
+        self._predecessor_until = now() + LATE_STAGE_S
         #: An order whose outcome is unknown.
         self._unknown_order: _SentOrder | None = None
         #: Start time of the engine that holds the staged chunks, in unix milliseconds.
@@ -231,19 +233,26 @@
 
     def _may_be_replaced(self, index: int, now: float) -> bool:
         """Returns whether a late staging may still replace a chunk by one of another version."""
-        version, until = self._unanswered.get(index, (self._version, 0.0))
-        return version != self._version and now < until
+        if now < self._predecessor_until:
+            return True
+        others = self._unanswered.get(index, {}).items()
+        return any(now < until for version, until in others if version != self._version)
 
     def _may_be_staged_late(self, now: float) -> bool:
         """Returns whether a staging without a response may still be carried out."""
-        return any(now < until for _, until in self._unanswered.values())
+        return any(
+            now < until for versions in self._unanswered.values() for until in versions.values()
+        )
 
     def on_staged(self, index: int, error: str) -> None:
         """Records the result of staging a chunk; an empty `error` means success."""
         del self._in_flight[index]
         if error:
-            self._paused_until = self._now() + FAILURE_PAUSE_S
-            self._unanswered[index] = self._version, self._now() + LATE_STAGE_S
+            now = self._now()
+            self._paused_until = now + FAILURE_PAUSE_S
+            known = self._unanswered.get(index, {}).items()
+            pending = {version: until for version, until in known if now < until}
+            self._unanswered[index] = pending | {self._version: now + LATE_STAGE_S}
         else:
             self._staged.add(index)
 
