Read loaded chunks again after a failed reading

A reading that timed out counted as a missing chunk, so an engine that was slow to answer would have been emptied although its load was whole. Change: the engine's client tells a chunk that is not held from a call that failed; a failed reading is repeated after 0.3 s. An order to unload that an engine refuses for good is repeated after 5 s. Tests: test_failed_reading_is_repeated_after_a_pause and test_unsupported_order_to_unload_is_repeated_rarely are new, as are the methods that they call.

--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -138,19 +138,24 @@
         self._call("PUT", path, lambda result: on_end(_failure_reason(result)), data)
 
     def fetch_staged_chunk(
-        self, model: str, index: int, on_end: Callable[[bytes | None], None], *, max_bytes: int
+        self,
+        model: str,
+        index: int,
+        on_end: Callable[[bytes | str | None], None],
+        *,
+        max_bytes: int,
     ) -> None:
         """Reads back a staged chunk of at most `max_bytes` bytes.
 
-        Calls back with None if the engine does not return it.
+        Calls back with its bytes, None if the engine does not hold it, or the reason for the failure.
         """
+
+        def on_result(result: HttpResult) -> None:
+            is_missing = not result.error and result.status == 404
+            on_end(result.body if result.ok else None if is_missing else _failure_reason(result))
+
         path = f"{names.STAGE_GET_PATH}/{quote(model, safe='')}?num={index}"
-        self._call(
-            "GET",
-            path,
-            lambda result: on_end(result.body if result.ok else None),
-            max_body_bytes=max_bytes,
-        )
+        self._call("GET", path, on_result, max_body_bytes=max_bytes)
 
     def _call(
         self,
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -265,10 +265,12 @@
     def _verify_chunk(self, command: VerifyChunk) -> None:
         index = command.index
 
-        def on_read(data: bytes | None) -> None:
-            matches = data is not None and sha256(data) == command.digest
+        def on_read(data: bytes | str | None) -> None:
+            matches = isinstance(data, bytes) and sha256(data) == command.digest
             if not matches:
                 reason = "missing" if data is None else "wrong digest"
+                if isinstance(data, str):
+                    reason = data
                 self.telemetry.event("stage.mismatch", index=index, reason=reason)
             self.load_planner.on_verified(index, matches)
             self._stage_and_load(self.clock.now())
@@ -304,7 +306,10 @@
 
     @_execute.register
     def _read_loaded_chunk(self, command: ReadLoadedChunk) -> None:
-        def on_read(data: bytes | None) -> None:
+        def on_read(data: bytes | str | None) -> None:
+            if isinstance(data, str):
+                self.load_planner.on_read_failed(command)
+                return
             self.load_planner.verification.record_read(
                 command,
                 None if data is None else sha256(data),
@@ -313,7 +318,8 @@
             )
             self._stage_and_load(self.clock.now())
 
-        self._read_staged_chunk(command.index, on_read)
+        max_bytes = self.transfer.max_chunk_bytes
+        self.engine.fetch_staged_chunk(self.model, command.index, on_read, max_bytes=max_bytes)
 
     @_execute.register
     def _order_unload(self, command: UnloadEngine) -> None:
@@ -321,7 +327,7 @@
             self.telemetry.event(
                 "unload", model=self.model, version=command.version, reason=outcome, detail=detail
             )
-            self.load_planner.on_unload_ended()
+            self.load_planner.on_unload_ended(_ORDER_RESULTS[outcome])
 
         self.engine.order_unload(
             self.model, command.version, on_outcome, expected_orders=command.expected_orders
@@ -392,8 +398,11 @@
         self.recovery.start(range(len(loaded.digests)))
 
     def _read_staged_chunk(self, index: int, on_end: Callable[[bytes | None], None]) -> None:
+        def on_read(data: bytes | str | None) -> None:
+            on_end(data if isinstance(data, bytes) else None)
+
         max_bytes = self.transfer.max_chunk_bytes
-        self.engine.fetch_staged_chunk(self.model, index, on_end, max_bytes=max_bytes)
+        self.engine.fetch_staged_chunk(self.model, index, on_read, max_bytes=max_bytes)
 
     def _on_staged_chunk(self, index: int, data: bytes) -> None:
         loaded = self.versions.get(self.versions.loaded)
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -11,6 +11,7 @@
 from fescuechute.stager._load_verification import (
     LoadId,
     LoadVerification,
+    ReadLoadedChunk,
     UnloadEngine,
     VerificationCommand,
 )
@@ -34,6 +35,8 @@
 #: Seconds to wait after an order that was or may have been accepted; the engine's report then shows
 #: whether it took effect.
 ORDER_SETTLE_S = 0.5
+#: Seconds to wait after an order to unload that the engine does not support.
+UNLOAD_RETRY_S = 5.0
 
 
 @attrs.frozen
@@ -288,10 +291,16 @@
         self._paused_until = self._now() + (ORDER_SETTLE_S if settles else FAILURE_PAUSE_S)
         self._discard_staged()
 
-    def on_unload_ended(self) -> None:
-        """Records the end of an order to unload; a report shows whether it took effect."""
+    def on_read_failed(self, command: ReadLoadedChunk) -> None:
+        """Records that a loaded chunk was not read, which says nothing about it."""
+        self.verification.record_failed_read(command)
+        self._paused_until = max(self._paused_until, self._now() + FAILURE_PAUSE_S)
+
+    def on_unload_ended(self, result: OrderResult) -> None:
+        """Records the result of an order to unload; a report shows whether it took effect."""
         self._order_in_flight = False
-        self._paused_until = self._now() + ORDER_SETTLE_S
+        is_final = result is OrderResult.FAILED
+        self._paused_until = self._now() + (UNLOAD_RETRY_S if is_final else ORDER_SETTLE_S)
 
     def _discard_staged(self) -> None:
         self._staged.clear()
--- a/fescuechute/stager/_load_verification.py
+++ b/fescuechute/stager/_load_verification.py
@@ -150,6 +150,11 @@
         self._in_flight.update(reads)
         return [ReadLoadedChunk(self._load, index) for index in reads]
 
+    def record_failed_read(self, command: ReadLoadedChunk) -> None:
+        """Records that a chunk was not read; it is read again."""
+        if command.load == self._load:
+            self._in_flight.discard(command.index)
+
     def record_read(
         self,
         command: ReadLoadedChunk,
@@ -161,7 +166,7 @@
 
         Args:
           command: The command to read it.
-          digest: Its digest, or None if it was not returned.
+          digest: Its digest, or None if the engine does not hold it.
           loaded: Version that the engine holds, or None.
           known_digests: Digests of the chunks of all known versions.
         """
--- a/tests/stager/test_load_verification.py
+++ b/tests/stager/test_load_verification.py
@@ -202,6 +202,27 @@
             planner.verification.record_read(command, b"?", LOADED, KNOWN)
         assert planner.plan(None, latest, 11.0, LOADED, True) == [UnloadEngine(2, 1)]
         assert planner.plan(None, latest, 11.1, LOADED, True) == []
-        planner.on_unload_ended()
+        planner.on_unload_ended(OrderResult.ACCEPTED)
         assert planner.plan(None, latest, 11.2, LOADED, True) == []
         assert planner.plan(LOADED, report(orders=2), 12.0)[0] == StageChunk(2, 0, b"a")
+
+    def test_failed_reading_is_repeated_after_a_pause(self):
+        """Guards against an engine that is emptied because a call to it timed out."""
+        planner = LoadPlanner(lambda: 10.0)
+        planner.plan(None, report(), 10.0)
+        reads = planner.plan(None, report(orders=1), 10.0, LOADED, True)
+        for command in reads:
+            planner.on_read_failed(command)
+        assert planner.plan(None, report(orders=1), 10.2, LOADED, True) == []
+        assert planner.plan(None, report(orders=1), 10.3, LOADED, True) == reads
+
+    def test_unsupported_order_to_unload_is_repeated_rarely(self):
+        """Guards against orders without pause to an engine that cannot be emptied."""
+        planner = LoadPlanner(lambda: 10.0)
+        planner.plan(None, report(), 10.0)
+        for command in planner.plan(None, report(orders=1), 10.0, LOADED, True):
+            planner.verification.record_read(command, b"?", LOADED, KNOWN)
+        assert planner.plan(None, report(orders=1), 10.0, LOADED, True) == [UnloadEngine(2, 1)]
+        planner.on_unload_ended(OrderResult.FAILED)
+        assert planner.plan(None, report(orders=1), 14.9, LOADED, True) == []
+        assert planner.plan(None, report(orders=1), 15.0, LOADED, True) == [UnloadEngine(2, 1)]
