Keep the verified load of an engine whose registry entry expired

Cause: a replica that registers again gets a new row, which took the version of the entry for proof, and had lost the verified load. An engine that stands still for three heartbeats with an order unread loses its entry. Change: the table remembers start time and verified load of removed engines whose stager had reported, 8192 at most; such an engine is used once its stager reports again.

--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -21,6 +21,8 @@
 OVERTAKE_TOLERANCE_S = 0.5
 #: Limit on replicas that are remembered as leaving.
 MAX_LEFT = 4096
+#: Limit on removed engines whose verified load is remembered.
+MAX_LOADS = 8192
 #: Longest time since the last report for which arrivals from other gateways are estimated.
 MAX_EXTRAPOLATED_S = 1.0
 
@@ -54,7 +56,8 @@
     #: Whether the engine is executing an order; it accepts no requests until the order is done.
     loading: bool = False
     #: Loaded version by model that may be used, from the latest report of the stager on its VM. Before
-    #: the first one it is that of the registry entry, which does not tell whether it was loaded whole.
+    #: the first one it is that of the registry entry, although that does not tell whether it was loaded
+    #: whole: an engine whose stager does not run would otherwise get no requests.
     versions: dict[str, int] = attrs.field(factory=dict)
     #: Start time and accepted orders of the engine when its weights were verified, or None.
     verified_load: tuple[int, int | None] | None = None
@@ -196,6 +199,9 @@
         self._by_address: dict[tuple[str, int], list[UpstreamRow]] = {}
         #: Start time of the last incarnation that stated that it is leaving, by instance, oldest first.
         self._left: dict[str, int] = {}
+        #: Start time and verified load of removed engines whose stager had reported, by instance, oldest
+        #: first.
+        self._loads: dict[str, tuple[int, tuple[int, int | None] | None]] = {}
         #: Increases when the ready replicas of a service change.
         self.generation = 0
 
@@ -219,12 +225,16 @@
         row = self._rows.get(entry.instance)
         is_new = row is None or (row.entry.born_ms != entry.born_ms and entry.born_ms > 0)
         if row is None or is_new:
-            had_stager = row is not None and row.reported_at > 0
             if row is not None:
                 self._unindex(row)
+                self._remember_load(row)
             row = UpstreamRow(
                 entry, self._region_by_data_centre.get(entry.data_centre, entry.data_centre)
             )
+            had_stager = entry.instance in self._loads
+            born_ms, verified_load = self._loads.get(entry.instance, (0, None))
+            if born_ms == entry.born_ms:
+                row.verified_load = verified_load
             if not had_stager:
                 row.versions = {model.name: model.version for model in entry.models}
             row.leaving = self._left.get(entry.instance) == entry.born_ms
@@ -254,6 +264,7 @@
             return None
         del self._rows[instance]
         self._unindex(row)
+        self._remember_load(row)
         return row
 
     def expire(self, now: float) -> list[UpstreamRow]:
@@ -266,6 +277,7 @@
         for row in expired:
             del self._rows[row.instance]
             self._unindex(row)
+            self._remember_load(row)
         return expired
 
     def record_leaving(self, row: UpstreamRow) -> bool:
@@ -282,6 +294,15 @@
             del self._left[next(iter(self._left))]
         return True
 
+    def _remember_load(self, row: UpstreamRow) -> None:
+        """Keeps what the stager has reported of an engine that may register again."""
+        if not row.reported_at:
+            return
+        self._loads.pop(row.instance, None)
+        self._loads[row.instance] = row.entry.born_ms, row.verified_load
+        if len(self._loads) > MAX_LOADS:
+            del self._loads[next(iter(self._loads))]
+
     def at_address(self, ip: str, port: int) -> UpstreamRow | None:
         """Returns the most recently started replica at an address, or None."""
         rows = self._by_address.get((ip, port), ())
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -196,3 +196,26 @@
     rows.register(entry())
     rows.register(entry(version=2))
     assert rows.get("i-1").versions == {"m": 2}
+
+
+@pytest.mark.parametrize(
+    ("name", "born", "orders", "versions"),
+    [
+        ("the verified load", 5, 1, {"m": 1}),
+        ("another load", 5, 2, {}),
+        ("the next start, whose load is unknown", 6, 1, {"m": 1}),
+    ],
+)
+@pytest.mark.parametrize("expires", [False, True])
+def test_verification_outlasts_the_registry_entry(name, born, orders, versions, expires):
+    """Guards against requests to a load that was never verified because the entry had expired meanwhile."""
+    rows = table()
+    rows.register(entry())
+    rows.get("i-1").apply_report(attrs.evolve(report(), orders=1), 1.0, 0, LoadState.VERIFIED)
+    rows.remove("i-1", 2.0 if expires else None)
+    rows.expire(2.0)
+    rows.register(entry(version=2, born=born))
+    row = rows.get("i-1")
+    assert row.versions == {}, name
+    row.apply_report(attrs.evolve(report(), orders=orders, born_ms=born), 3.0)
+    assert row.versions == versions, name
