Await confirmed stagings as well, and replace a load with a missing chunk

A missing chunk left a load of an earlier stager unknown until the next load, which gateways with another verified load never use. A missing chunk makes such a load unverified: staged chunks outlast a crash, and a loss of power empties the engine.

--- a/fescuechute/catalog/_types.py
+++ b/fescuechute/catalog/_types.py
@@ -202,7 +202,7 @@
     VERIFIED = "verified"
     #: Some chunks may not have been whole; the engine must get no requests.
     UNVERIFIED = "unverified"
-    #: They were loaded on an order of a stager that ran before.
+    #: They were loaded on an order of a stager that ran before, or the engine does not count its orders.
     UNKNOWN = "unknown"
 
 
--- a/fescuechute/stager/_load_planner.py
+++ b/fescuechute/stager/_load_planner.py
@@ -30,7 +30,7 @@
 #: Seconds to wait after a chunk that was read back had another digest; an engine that never keeps a
 #: chunk must not be called without pause.
 MISMATCH_PAUSE_S = 0.05
-#: Seconds for which a call that staged a chunk and got no response may still be carried out.
+#: Seconds for which a call that staged a chunk may still be carried out.
 LATE_STAGE_S = 3.0
 #: Seconds to wait after an order that was or may have been accepted; the engine's report then shows
 #: whether it took effect.
@@ -136,9 +136,11 @@
         self.verification = LoadVerification()
         self._sent_order: _SentOrder | None = None
         self._paused_until = 0.0
-        #: Unix seconds until which the engine may still carry out the latest staging without a response,
-        #: by chunk and version.
-        self._unanswered: dict[int, dict[int, float]] = {}
+        #: Unix seconds until which the engine may still carry out the latest staging, by chunk and version;
+        #: a response may belong to an earlier call.
+        self._late_until: dict[int, dict[int, float]] = {}
+        #: The same for all stagings without a response.
+        self._unanswered_until = float("-inf")
         #: Unix seconds until which it may still carry out a staging of a stager that ran before.
         self._predecessor_until = now() + LATE_STAGE_S
         #: An order whose outcome is unknown.
@@ -174,7 +176,8 @@
             # A restarted engine may have lost what was staged.
             self._engine_born_ms, self._engine_known_since = report.born_ms, now
             self._discard_staged()
-            self._unanswered.clear()
+            self._late_until.clear()
+            self._unanswered_until = float("-inf")
             self._unknown_order = None
         target = self._pinned_target(report) or target
         if self._order_in_flight or now < self._paused_until:
@@ -197,7 +200,7 @@
             oldest = min(self._verified_at.values())
             self._sent_order = _SentOrder(target, report.born_ms, report.orders, oldest)
             if self._unknown_order is None:
-                self.verification.record_order(self._may_be_staged_late(now))
+                self.verification.record_order(now < self._unanswered_until)
             return [OrderLoad(target.version, report.orders, oldest, oldest + MAX_AGE_AT_ORDER_S)]
         due = [
             index
@@ -238,24 +241,20 @@
         """Returns whether a late staging may still replace a chunk by one of another version."""
         if now < self._predecessor_until:
             return True
-        others = self._unanswered.get(index, {}).items()
+        others = self._late_until.get(index, {}).items()
         return any(now < until for version, until in others if version != self._version)
 
-    def _may_be_staged_late(self, now: float) -> bool:
-        """Returns whether a staging without a response may still be carried out."""
-        return any(
-            now < until for versions in self._unanswered.values() for until in versions.values()
-        )
-
     def on_staged(self, index: int, error: str) -> None:
         """Records the result of staging a chunk; an empty `error` means success."""
         del self._in_flight[index]
+        now = self._now()
+        late_until = now + LATE_STAGE_S
+        known = self._late_until.get(index, {}).items()
+        pending = {version: until for version, until in known if now < until}
+        self._late_until[index] = pending | {self._version: late_until}
         if error:
-            now = self._now()
             self._paused_until = now + FAILURE_PAUSE_S
-            known = self._unanswered.get(index, {}).items()
-            pending = {version: until for version, until in known if now < until}
-            self._unanswered[index] = pending | {self._version: now + LATE_STAGE_S}
+            self._unanswered_until = late_until
         else:
             self._staged.add(index)
 
--- a/fescuechute/stager/_load_verification.py
+++ b/fescuechute/stager/_load_verification.py
@@ -182,5 +182,5 @@
             return
         self._inconclusive = True
         # The stager that ran before may have begun to stage another version.
-        if digest is not None and digest not in known_digests:
+        if digest is None or digest not in known_digests:
             self.state = LoadState.UNVERIFIED
--- a/tests/stager/test_load_verification.py
+++ b/tests/stager/test_load_verification.py
@@ -98,7 +98,7 @@
             LoadState.UNKNOWN,
         ),
         ("missing", True, None, LoadState.UNVERIFIED),
-        ("missing, earlier stager", False, None, LoadState.UNKNOWN),
+        ("missing, earlier stager", False, None, LoadState.UNVERIFIED),
     ],
 )
 def test_loaded_chunks_are_read_back(name, own, digest, state):
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -251,10 +251,8 @@
         clock[0] = 0.5
         target = VersionState(3, (b"c", b"d"))
         self.execute(planner, planner.plan(target, engine_report(), 0.5))
-        commands = planner.plan(target, engine_report(), 0.5)
-        assert commands == [VerifyChunk(0, b"c")]
-        self.execute(planner, commands)
-        assert planner.plan(target, engine_report(), 2.0) == []
+        assert planner.plan(target, engine_report(), 0.5) == []
+        assert planner.plan(target, engine_report(), 2.9) == []
         assert VerifyChunk(1, b"d") in planner.plan(target, engine_report(), 3.0)
 
     def test_late_stagings_of_two_versions_are_awaited(self):
@@ -269,10 +267,19 @@
             commands = planner.plan(target, engine_report(), clock[0])
             self.execute(planner, commands)
             early += commands
-        assert VerifyChunk(0, b"c") in early
-        assert VerifyChunk(1, b"d") not in early
+        assert not any(isinstance(command, VerifyChunk) for command in early)
         assert VerifyChunk(1, b"d") in planner.plan(target, engine_report(), 3.0)
 
+    def test_confirmed_staging_of_another_version_is_awaited(self):
+        """Guards against a staging that an earlier response had confirmed and that is carried out late."""
+        _clock, planner, old = self.make()
+        self.execute(planner, planner.plan(old, engine_report(), 0.0))
+        target = VersionState(3, (b"c", b"d"))
+        self.execute(planner, planner.plan(target, engine_report(), 0.0))
+        assert planner.plan(target, engine_report(), 2.9) == []
+        verifications = [VerifyChunk(0, b"c"), VerifyChunk(1, b"d")]
+        assert planner.plan(target, engine_report(), 3.0) == verifications
+
     def test_chunks_are_verified_once_late_stagings_of_an_earlier_stager_have_passed(self):
         """Guards against a chunk that a killed stager had sent and the engine stages after its reading."""
         clock = [0.0]
