Ignore the versions of later registry entries of an engine that registered again

Cause: an engine that registered again was not used before its stager reported, but a second entry with another version was taken for proof, because the new row had no report yet. Change: one rule for both entries.

--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -231,20 +231,18 @@
             row = UpstreamRow(
                 entry, self._region_by_data_centre.get(entry.data_centre, entry.data_centre)
             )
-            had_stager = entry.instance in self._loads
             born_ms, verified_load = self._loads.get(entry.instance, (0, None))
             if born_ms == entry.born_ms:
                 row.verified_load = verified_load
-            if not had_stager:
-                row.versions = {model.name: model.version for model in entry.models}
+            self._apply_registered_models(row, entry)
             row.leaving = self._left.get(entry.instance) == entry.born_ms
             self._rows[entry.instance] = row
         else:
             row.expires_at = None
             if entry == row.entry:
                 return False
-            if entry.models != row.entry.models and not row.reported_at:
-                row.versions = {model.name: model.version for model in entry.models}
+            if entry.models != row.entry.models:
+                self._apply_registered_models(row, entry)
             self._unindex(row)
             row.entry = entry
         self._index(row)
@@ -294,6 +292,11 @@
             del self._left[next(iter(self._left))]
         return True
 
+    def _apply_registered_models(self, row: UpstreamRow, entry: Registration) -> None:
+        """Takes the versions of an entry unless the stager of the engine is known to report them."""
+        if not row.reported_at and entry.instance not in self._loads:
+            row.versions = {model.name: model.version for model in entry.models}
+
     def _remember_load(self, row: UpstreamRow) -> None:
         """Keeps what the stager has reported of an engine that may register again."""
         if not row.reported_at:
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -215,6 +215,7 @@
     rows.remove("i-1", 2.0 if expires else None)
     rows.expire(2.0)
     rows.register(entry(version=2, born=born))
+    rows.register(entry(version=3, born=born))
     row = rows.get("i-1")
     assert row.versions == {}, name
     row.apply_report(attrs.evolve(report(), orders=orders, born_ms=born), 3.0)
