--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -45,3 +45,25 @@
     loop.close()
     thread.join(10)
     assert completed == [1, 2, 3]
+
+
+def test_ticks_go_on_while_the_time_of_day_steps_back(monkeypatch):
+    """Guards against a process that stands still for as long as the time of day steps back."""
+    step_s = [0.0]
+    monkeypatch.setattr("circuits.core.timers.time", lambda: time.time() + step_s[0])
+    ticks = []
+    loop = Loop(ticks.append, lambda: None, 0.01)
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    deadline = time.monotonic() + 10
+    while len(ticks) < 3 and time.monotonic() < deadline:
+        time.sleep(0.01)
+    step_s[0] = -4.0
+    time.sleep(0.1)
+    before = len(ticks)
+    deadline = time.monotonic() + 2
+    while len(ticks) < before + 3 and time.monotonic() < deadline:
+        time.sleep(0.01)
+    loop.close()
+    thread.join(10)
+    assert len(ticks) >= before + 3
