--- a/fescuechute/gateway/_access.py
+++ b/fescuechute/gateway/_access.py
@@ -28,6 +28,8 @@
 
     reason: Reason
     detail: str
+    #: Route of the request, or None if it has none.
+    route: Route | None = None
 
 
 class AccessControl:
@@ -79,9 +81,9 @@
         if table.needs_keys and not route.anonymous:
             owner = table.workspace(meta.key) if meta.key else None
             if owner is None:
-                return Denied(Reason.UNKNOWN_KEY, "unknown key")
+                return Denied(Reason.UNKNOWN_KEY, "unknown key", route)
             if not self.accepts_keys(confirmed_at, now):
-                return Denied(Reason.STALE_CONFIGURATION, "the key may have been revoked")
+                return Denied(Reason.STALE_CONFIGURATION, "the key may have been revoked", route)
             workspace = owner.name
             rank = rank if owner.rank is None else owner.rank
         service = split_service(route, meta.request_id)
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -298,7 +298,8 @@
             self._deny(request, meta.request_id, decision, now)
             return
         if not self._planned_stop.can_finish(decision.route, meta.client_timeout_s, now):
-            self._deny(request, meta.request_id, Denied(Reason.DRAINING, "stopping"), now)
+            denied = Denied(Reason.DRAINING, "stopping", decision.route)
+            self._deny(request, meta.request_id, denied, now)
             return
         table = self.access.table
         service = table.service(decision.service) if table is not None else None
@@ -309,11 +310,14 @@
 
     def _deny(self, request: ClientRequest, request_id: str, denied: Denied, now: float) -> None:
         status = refusal(denied.reason).status
+        route = denied.route
         confirmed_at = self.operator_feed.confirmed_at
         table = self.access.table
         self.telemetry.event(
             "request",
             id=request_id,
+            route=None if route is None else route.name,
+            target_ms=None if route is None else round(route.target_latency_s * 1000),
             status=status,
             reason=denied.reason,
             detail=denied.detail,
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -266,6 +266,9 @@
             if first_event_at is None
             else round((first_event_at - received_at) * 1000),
             ms=round((now - received_at) * 1000),
+            target_ms=round(transfer.allowed.route.target_latency_s * 1000),
+            gap_ms=round(transfer.longest_gap_s * 1000),
+            max_gap_ms=round(transfer.allowed.route.max_event_gap_s * 1000),
             shortage=shortage,
             quarantined=[content.hex() for content in self._crashes.restricted(transfer.contents)]
             if reason == Reason.QUARANTINED
--- a/fescuechute/gateway/_transfer.py
+++ b/fescuechute/gateway/_transfer.py
@@ -138,6 +138,9 @@
         #: Unix seconds at which a stream without further events counts as stalled.
         self._stalls_at = float("inf")
         self.first_event_at: float | None = None
+        self._last_event_at: float | None = None
+        #: Longest seconds between two batches of events that replicas sent.
+        self.longest_gap_s = 0.0
         request.response.on_disconnect = self._on_client_gone
 
     @cached_property
@@ -491,6 +494,9 @@
             attempt.first_event_at = now
         if self.first_event_at is None:
             self.first_event_at = now
+        if self._last_event_at is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
+        self._last_event_at = now
         row = attempt.choice.row
         row.record_start(attempt, self.allowed.rank, now)
         row.pending_prompt_tokens -= attempt.pending_prompt_tokens
--- a/fescuechute/stager/_chunk_transfer.py
+++ b/fescuechute/stager/_chunk_transfer.py
@@ -176,6 +176,9 @@
         self._waiting_responses: dict[tuple[str, bytes], Response] = {}
         #: Fetches in flight, by digest.
         self._fetch_calls: dict[bytes, HttpCall] = {}
+        #: Chunks fetched from the origin and from peers since the start.
+        self.fetched_from_origin = 0
+        self.fetched_from_peers = 0
         #: Cursor into the store up to which chunks were announced to each linked peer.
         self._announced_up_to: dict[str, int] = {}
 
@@ -341,6 +344,10 @@
     def _on_chunk_received(self, digest: bytes, source: str, data: bytes) -> None:
         if self.store.put(digest, data):
             self._telemetry.count("chunk.arrived", ORIGIN if source == ORIGIN else "peer")
+            if source == ORIGIN:
+                self.fetched_from_origin += 1
+            else:
+                self.fetched_from_peers += 1
             self.ring.record_arrival(digest, self._now())
             self._queue_waiting_uploads(digest)
             self._on_stored()
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -347,7 +347,10 @@
             ring = self.transfer.ring
             self.telemetry.event(
                 "version.progress",
+                version=self.versions.downloading,
                 missing=missing,
+                from_origin=self.transfer.fetched_from_origin,
+                from_peers=self.transfer.fetched_from_peers,
                 announced=ring.available_by_predecessor(),
                 fetching=ring.in_flight_by_source(),
             )
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -125,6 +125,12 @@
         state = self._to_download()
         return state.digests or () if state is not None else ()
 
+    @property
+    def downloading(self) -> int:
+        """The version whose chunks are downloaded now, 0 for none."""
+        state = self._to_download()
+        return 0 if state is None else state.version
+
     def _to_download(self) -> VersionState | None:
         newest = self._states[self.newest]
         partial = [
