Show that a replica that refuses requests attracts more of them

Callers are refused as overloaded while engines have places: a gateway sends each request to the engine that looks empty, and an engine that refuses at once looks empty for as long as its report does.

The test dispatches 40 requests to two engines, one of which refuses all.

--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,129 @@
+"""Dispatch of requests: what refusals and failures of replicas mean for the next requests."""
+
+import os
+from collections import Counter
+from random import Random
+
+from fescuechute.catalog import (
+    RequestMeta,
+    RetryPolicy,
+    Route,
+    WeightedService,
+)
+from fescuechute.forwarding import ClientRequest, ResponseBuffers
+from fescuechute.gateway import (
+    Allowed,
+    Chooser,
+    Dispatcher,
+    SubsetSelector,
+    Transfer,
+    UpstreamTable,
+    VersionTable,
+)
+from fescuechute.settings import ServiceLevels
+from fescuechute.telemetry import LineWriter, Telemetry
+from tests.gateway.test_choice import ENGINES, ZONES, entry, load
+from tests.gateway.transfer_harness import Call, ClientResponse
+from tests.platform.fields import NOT_RUN
+
+#: Seconds between two requests.
+INTERVAL_S = 0.05
+
+
+class _Crashes:
+    """A crash monitor that has seen no crash."""
+
+    any_restricted = False
+
+    def restricted(self, contents):
+        return ()
+
+    def record_answer(self, contents):
+        pass
+
+    def record_loss(self, row, contents):
+        pass
+
+
+class DispatchHarness:
+    """A dispatcher with its chooser, and engines that refuse some requests."""
+
+    def __init__(self, *engines, refuses=()):
+        self.time = 1000.0
+        self.refuses = set(refuses)
+        self.sent: Counter[str] = Counter()
+        self.calls: list[Call] = []
+        self.table = UpstreamTable(ZONES)
+        for name in engines:
+            self.table.register(entry(name, 1))
+        self.telemetry = Telemetry(
+            "gateway", "g", lambda: self.time, LineWriter(os.open(os.devnull, os.O_WRONLY))
+        )
+        chooser = Chooser(
+            SubsetSelector("gateway-1", "r1", self.table),
+            VersionTable(8.0),
+            "here",
+            "r1",
+            lambda: 1,
+            Random(1),
+        )
+        self.dispatcher = Dispatcher(
+            self,
+            self.table,
+            chooser,
+            ServiceLevels(4.0, 8.0, 4.0, None, 8.0, 5.0, 1.0, 1000.0, 10.0),
+            self.telemetry,
+            lambda: 1,
+            lambda: self.time,
+            Random(1),
+            ResponseBuffers(1 << 20),
+            _Crashes(),
+        )
+
+    def request(self, prompt_tokens=100):
+        """Dispatches one request; returns the status that its client gets."""
+        client = ClientResponse()
+        client.end = lambda: client.end_stream()
+        route = Route(
+            "r", "a.example", "/a/", RetryPolicy.STREAM, (WeightedService("lm", 1),), 6.0, 0.4, 0.4,
+            0, 2, False, True,
+        )  # fmt: skip
+        meta = RequestMeta("9c41", "k", 5.0, None, "m", prompt_tokens, 50, 0)
+        request = ClientRequest(b"POST", b"/a/x", [], b"body", self.time, False, client)
+        self.dispatcher.start(
+            Transfer(request, meta, Allowed(route, "lm", "w", 0, 1), ENGINES, self.dispatcher)
+        )
+        while self.calls:
+            call = self.calls.pop(0)
+            if call.attempt.instance in self.refuses:
+                call.respond(503, b"", (NOT_RUN,))
+            else:
+                call.send_events(b"id: 1\ndata: x\n\n")
+                call.attempt.on_end()
+        self.time += INTERVAL_S
+        return client.status
+
+    # The interface of `UpstreamClient`.
+
+    def call(self, instance, address, request, attempt, is_own, **limits):
+        self.sent[instance] += 1
+        self.calls.append(Call(attempt, request))
+        return self.calls[-1]
+
+    def cancel(self, call):
+        call.cancelled = True
+
+    def close_idle(self, instance):
+        pass
+
+
+def test_replica_that_refuses_does_not_attract_requests():
+    """Guards against an engine that refuses everything and is chosen again since it looks empty."""
+    harness = DispatchHarness("refusing", "busy", refuses=["refusing"])
+    load(harness, "busy", 12)
+    load(harness, "refusing", 0)
+    for _ in range(40):
+        assert harness.request() == 200
+    # 40 requests take 2 s.
+    assert harness.sent["refusing"] <= 4
+    assert harness.sent["busy"] == 40
