Count a replica that refuses a request as full for a while

Callers were refused as overloaded while engines had places: a refusal changed nothing in the table of replicas, so an engine that refused at once and whose last report showed it empty was the cheapest one for every request.

A refusal is the newest word on the load of a replica. It now counts as full for 0.4 s, and twice as long with each further refusal, up to 3 s; a response to a later request, or a new load, ends that. A request that declares more tokens than an engine holds is refused by all of them and pauses none.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -74,7 +74,7 @@
     up: int
     #: Not loading weights, and with an allowed version loaded.
     able: int
-    #: With capacity for the rank of the request.
+    #: With capacity for the rank of the request, and no refusal lately.
     free: int
     #: Oldest allowed version, 0 for any.
     version: int
@@ -261,7 +261,8 @@
             ):
                 continue
             self.able += 1
-            if in_flight < self._max_requests and row.in_flight < self._max_own:
+            is_free = in_flight < self._max_requests and now >= row.full_until
+            if is_free and row.in_flight < self._max_own:
                 candidates.append(Candidate(row, cost_s))
         return candidates
 
--- a/fescuechute/gateway/_dispatch.py
+++ b/fescuechute/gateway/_dispatch.py
@@ -213,10 +213,13 @@
         if kind in ("not_connected", "misdirected"):
             row.record_unreachable(now)
             self._upstream_client.close_idle(row.instance)
+        elif kind == "refused":
+            # A request that no engine can hold says nothing about the load of this one.
+            if not self._exceeds_engine(transfer):
+                row.record_refusal(now)
         elif kind not in (
             "client gone",
             "timeout",
-            "refused",
             "silent",
             "superseded",
             "version",
@@ -275,6 +278,11 @@
             else None,
         )
 
+    def _exceeds_engine(self, transfer: Transfer) -> bool:
+        engine = transfer.service.engine
+        tokens = transfer.meta.prompt_tokens + transfer.meta.max_tokens
+        return engine is not None and tokens > engine.kv_capacity_tokens
+
     def _retry_budget(self, service: str) -> RetryBudget:
         service_levels = self._service_levels
         gateways = max(MIN_GATEWAYS, self._gateway_count())
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -12,6 +12,10 @@
 #: failure, up to the maximum. A crashed replica is back after some seconds.
 BACKOFF_MIN_S = 0.4
 BACKOFF_MAX_S = 3.0
+#: Seconds for which a replica that refused a request counts as full. The time doubles with each
+#: consecutive refusal, up to the maximum.
+REFUSAL_PAUSE_MIN_S = 0.4
+REFUSAL_PAUSE_MAX_S = 3.0
 #: Weight of the latest outcome in the moving average of failed requests.
 FAILURE_WEIGHT = 0.2
 #: Seconds after the store has recovered in which a replica whose entry expired may register again.
@@ -61,10 +65,17 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     #: Start time and accepted orders of the engine when its weights were verified, or None.
     verified_load: tuple[int, int | None] | None = None
+    #: Start time and accepted orders of the engine in the last report, or None.
+    reported_load: tuple[int, int | None] | None = None
     #: Whether the replica has stated in a response that it is leaving; it gets no more requests.
     leaving: bool = False
     #: Unix seconds until which the replica wants no requests from this gateway, by its `Retry-After`.
     refuses_until: float = 0.0
+    #: Unix seconds until which the replica counts as full, because it has refused a request.
+    full_until: float = 0.0
+    #: Unix seconds of the last refusal, and the number of refusals since a response last started.
+    refused_at: float = float("-inf")
+    consecutive_refusals: int = 0
     #: Unix seconds until which the replica gets no requests.
     backoff_until: float = 0.0
     #: Consecutive failures to reach the replica.
@@ -99,6 +110,8 @@
         sent_at = self.unstarted.pop(attempt, None)
         if sent_at is not None:
             self.last_started_at = now
+            if sent_at >= self.refused_at:
+                self.consecutive_refusals = 0
             self.newest_started_sent_at[rank] = max(
                 sent_at, self.newest_started_sent_at.get(rank, 0.0)
             )
@@ -150,6 +163,9 @@
         self.relative_step_time = report.relative_step_time
         self.loading = report.loading
         load = report.born_ms, report.orders
+        if load != self.reported_load:
+            # What it refused before it loaded weights says nothing about it now.
+            self.reported_load, self.full_until, self.consecutive_refusals = load, 0.0, 0
         if load_state is LoadState.VERIFIED:
             self.verified_load = load
         if self._is_usable(load, load_state):
@@ -177,6 +193,16 @@
         """Records a request that failed on the replica, was slow to start, or lost its response."""
         self.failed_share += FAILURE_WEIGHT * (1 - self.failed_share)
 
+    def record_refusal(self, now: float) -> None:
+        """Records that the replica refused a request, whatever its last report says of its load."""
+        self.refused_at = now
+        if now < self.full_until:
+            # The answer to a request that was sent before the refusal that is known.
+            return
+        pause_s = REFUSAL_PAUSE_MIN_S * 2 ** min(self.consecutive_refusals, 8)
+        self.full_until = now + min(REFUSAL_PAUSE_MAX_S, pause_s)
+        self.consecutive_refusals += 1
+
     def record_unreachable(self, now: float) -> None:
         """Records a failed connection or a misdirected request, and extends the backoff."""
         self.consecutive_failures += 1
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -71,9 +71,11 @@
     )
 
 
-def load(harness, name, running, loading=False, version=1, relative_step_time=1.0, others=0):
+def load(
+    harness, name, running, loading=False, version=1, relative_step_time=1.0, others=0, orders=0
+):
     models = (LoadedModel("m", version),)
-    report = EngineReport(models, loading, 0, 0, running, 0, 0, relative_step_time, 5)
+    report = EngineReport(models, loading, orders, 0, running, 0, 0, relative_step_time, 5)
     harness.table.get(name).apply_report(report, 0.001, others)
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -127,3 +127,49 @@
     # 40 requests take 2 s.
     assert harness.sent["refusing"] <= 4
     assert harness.sent["busy"] == 40
+
+
+def test_pause_after_refusals_ends():
+    """Guards against a replica that gets no more requests after it was full for a moment."""
+    harness = DispatchHarness("a", refuses=["a"])
+    assert harness.request() == 503
+    harness.refuses.clear()
+    harness.time += 1.0
+    assert harness.request() == 200
+
+
+def test_full_service_refuses_without_asking_its_replicas():
+    """Guards against requests that wait for refusals of replicas that are known to be full."""
+    harness = DispatchHarness("a", "b", refuses=["a", "b"])
+    statuses = [harness.request() for _ in range(8)]
+    assert statuses == [503] * 8
+    assert harness.sent == {"a": 1, "b": 1}
+
+
+def test_request_larger_than_an_engine_pauses_no_engine():
+    """Guards against one client whose requests fit no engine and that stops those of all others."""
+    harness = DispatchHarness("a", "b", refuses=["a", "b"])
+    for _ in range(5):
+        assert harness.request(prompt_tokens=ENGINES.engine.kv_capacity_tokens) == 503
+    harness.refuses.clear()
+    assert harness.request() == 200
+
+
+def test_pause_grows_while_a_replica_refuses():
+    """Guards against many gateways that go on asking a replica that refuses for seconds."""
+    harness = DispatchHarness("a", refuses=["a"])
+    for _ in range(200):
+        harness.request()
+    # Requests are sent after pauses of 0.4, 0.8, 1.6, 3 and 3 s of the 10 s.
+    assert harness.sent["a"] == 6
+
+
+def test_engine_that_has_loaded_is_used_at_once():
+    """Guards against an engine that stays unused after a load, since it refused requests during it."""
+    harness = DispatchHarness("a", refuses=["a"])
+    load(harness, "a", 0)
+    for _ in range(60):
+        harness.request()
+    harness.refuses.clear()
+    load(harness, "a", 0, orders=1)
+    assert harness.request() == 200
