Divide the free places of far replicas among the gateways that see them

A gateway that finds no near engine with a place sends to the far one that looks cheapest. Far engines report each second, to 35 gateways alike, and the estimate counted the gateways for which an engine is near only. So all of them sent to the same few engines, and the error grew with the number of gateways.

The free places of a report are now divided among the gateways, of which half are presumed to send to far engines at a time.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -13,6 +13,7 @@
 from fescuechute.catalog import Service
 from fescuechute.gateway._latency_model import FirstEventModel
 from fescuechute.gateway._send_rate import SendRate
+from fescuechute.gateway._spill import SpillQuota
 from fescuechute.gateway._subset import SubsetSelector
 from fescuechute.gateway._upstreams import UpstreamRow
 from fescuechute.gateway._versions import VersionTable
@@ -115,6 +116,7 @@
         self._gateway_count = gateway_count
         self._rng = rng
         self._send_rates: dict[str, SendRate] = defaultdict(SendRate)
+        self._spill_quota = SpillQuota(rng)
 
     def choose(self, requirements: Requirements, now: float) -> Choice | None:
         """Returns the best eligible replica, or None if there is none.
@@ -126,7 +128,13 @@
         candidates = evaluation.candidates(subset.near)
         best = self._cheapest(candidates)
         if subset.far and (best is None or best.cost_s > SPILL_COST_S):
-            candidates = candidates + evaluation.candidates(subset.far)
+            gateways = self._gateway_count()
+            far = [
+                row
+                for row in subset.far
+                if self._spill_quota.allows(row, evaluation.max_requests, gateways, now)
+            ]
+            candidates = candidates + evaluation.candidates(far)
             best = self._cheapest(candidates)
         if best is None:
             return None
@@ -134,9 +142,10 @@
         version = best.row.versions.get(requirements.model) if requirements.model else None
         return Choice(best.row, best.cost_s, version, len(candidates))
 
-    def record_send(self, service: str, now: float) -> None:
-        """Records that a request was sent to a replica of a service."""
-        self._send_rates[service].record(now)
+    def record_send(self, row: UpstreamRow, now: float) -> None:
+        """Records that a request was sent to a replica."""
+        row.sent_since_report += 1
+        self._send_rates[row.entry.service].record(now)
 
     def shortage(self, requirements: Requirements, now: float) -> Shortage:
         """Returns the number of replicas left by each condition, for the log line of a refusal."""
@@ -235,10 +244,11 @@
         self._estimate = (
             None if engine is None else FirstEventModel(engine, requirements.prompt_tokens)
         )
-        self._max_requests = float("inf")
+        #: Requests that a replica may hold for one of this rank to be sent to it.
+        self.max_requests = float("inf")
         if engine is not None:
             rank = min(requirements.rank, len(SLOT_OVERCOMMIT_BY_RANK) - 1)
-            self._max_requests = engine.slots + SLOT_OVERCOMMIT_BY_RANK[rank]
+            self.max_requests = engine.slots + SLOT_OVERCOMMIT_BY_RANK[rank]
 
     def candidates(self, rows: Sequence[UpstreamRow]) -> list[Candidate]:
         """Returns the eligible replicas among the given ones, and counts those of each condition."""
@@ -261,7 +271,7 @@
             ):
                 continue
             self.able += 1
-            is_free = in_flight < self._max_requests and now >= row.full_until
+            is_free = in_flight < self.max_requests and now >= row.full_until
             if is_free and row.in_flight < self._max_own:
                 candidates.append(Candidate(row, cost_s))
         return candidates
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -55,6 +55,10 @@
     other_gateway_count: int = 0
     #: Unix seconds of the last report, 0 before the first.
     reported_at: float = 0.0
+    #: Requests of all gateways at the engine in the last report.
+    reported_requests: int = 0
+    #: Requests that this gateway has sent since then.
+    sent_since_report: int = 0
     #: Step time relative to the engine profile; above 1 is slower.
     relative_step_time: float = 1.0
     #: Whether the engine is executing an order; it accepts no requests until the order is done.
@@ -156,7 +160,9 @@
           other_gateway_count: Number of other gateways that use the replica before others.
           load_state: What the stager knows of the loaded weights.
         """
-        self.other_in_flight = max(0, report.running + report.waiting - self.in_flight)
+        self.reported_requests = report.running + report.waiting
+        self.sent_since_report = 0
+        self.other_in_flight = max(0, self.reported_requests - self.in_flight)
         self.other_waiting = max(0, report.waiting - len(self.unstarted))
         self.other_gateway_count = other_gateway_count
         self.reported_at = now
