Limit downloads from the origin by what its link carries

Callers are refused for as long as no engine holds the version that binds, or engines are empty after a loss of power. On a site with 102 engines 24 stagers download from the origin at a time, whose link carries 22 chunks a second: each chunk takes more than a second. Stagers take a source that is silent for 0.7 to 0.8 s for lost, and download chunks of others as well, which makes all of them slower still.

The simulation of the ring can share the link of the origin; the new test fails without the limit. The older tests run as before, with an origin that sends one chunk after the other.

--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -501,7 +501,9 @@
         """Recomputes the ring and keeps links to the predecessors of this stager."""
         origin_service = self._origin_service()
         connections = 1 if origin_service is None else origin_service.max_connections
-        wanted = self.transfer.ring.set_order(self._ring_order(origin_service), connections)
+        wanted = self.transfer.ring.set_order(
+            self._ring_order(origin_service), connections, self._origin_chunks_per_s(origin_service)
+        )
         for peer_id in self.hub.maintained_peers() - set(wanted):
             self.hub.disconnect(peer_id)
         for peer_id in wanted:
@@ -537,6 +539,14 @@
         engine = None if service is None else service.engine
         return engine.chunk_bytes if engine is not None and engine.chunk_bytes else MAX_BODY_BYTES
 
+    def _origin_chunks_per_s(self, origin_service: Service | None) -> float:
+        """Returns the chunks per second that the link of the origin carries, infinity if unknown."""
+        service = self._services.get(self.settings.service)
+        engine = None if service is None else service.engine
+        if origin_service is None or not origin_service.link_bits_s or engine is None:
+            return float("inf")
+        return origin_service.link_bits_s / 8 / max(1, engine.chunk_bytes)
+
     def _download_s(self) -> float:
         """Returns the estimated seconds to download one version, 0 if it cannot be estimated."""
         service = self._services.get(self.settings.service)
--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -104,12 +104,15 @@
         self._wanted = tuple(digests)
         self._rebuild_missing()
 
-    def set_order(self, agents: Sequence[str], connections: int) -> tuple[str, ...]:
+    def set_order(
+        self, agents: Sequence[str], connections: int, origin_chunks_per_s: float = float("inf")
+    ) -> tuple[str, ...]:
         """Applies the order of the ring; returns the agents to which links are needed.
 
         Args:
           agents: Ids of all agents in ring order; the first one follows the last.
           connections: Number of connections that the origin accepts.
+          origin_chunks_per_s: Chunks per second that the link of the origin carries.
         """
         order = list(agents)
         position = order.index(self._self_id)
@@ -121,10 +124,12 @@
         if self._skip_length:
             self._skip_predecessor = following[-self._skip_length]
             self._skip_successor = following[self._skip_length - 1]
-        capacity = int(
-            connections * self._limits.origin_connection_share / self._limits.origin_window
+        limits = self._limits
+        downloads = min(
+            connections * limits.origin_connection_share,
+            origin_chunks_per_s * limits.max_download_s,
         )
-        self._downloader_count = max(1, min(len(order), capacity))
+        self._downloader_count = max(1, min(len(order), int(downloads / limits.origin_window)))
         self._position, self._length = position, len(order)
         self._rebuild_missing()
         skip = () if self._skip_predecessor is None else (self._skip_predecessor,)
--- a/fescuechute/weights/_ring_limits.py
+++ b/fescuechute/weights/_ring_limits.py
@@ -32,6 +32,9 @@
     origin_window: int = 1
     #: Share of the connections accepted by the origin that all agents together may use.
     origin_connection_share: float = 0.5
+    #: Time that a chunk may take from the origin while all downloads share its link. Agents that wait
+    #: longer than `slow_after_s` or `handover_timeout_s` would download the same chunks again.
+    max_download_s: float = 0.5
     #: Time without an announcement of a missing chunk after which a predecessor counts as stalled,
     #: and the number of chunks by which it may lag behind the next predecessor. Beyond either, the
     #: next predecessor is asked too. Both are several times the values of a healthy neighbour; asking
--- a/tests/weights/ring_simulation.py
+++ b/tests/weights/ring_simulation.py
@@ -7,8 +7,7 @@
 
 from fescuechute.weights import ORIGIN, CancelFetch, FetchFromOrigin, Ring
 
-#: Transmission time of a chunk on the link of a VM in seconds. The link of the origin is twice as
-#: fast.
+#: Transmission time of a chunk on the link of a VM in seconds.
 CHUNK_S = 0.05
 #: Delay of a message between agents in seconds.
 HOP_S = 0.004
@@ -36,8 +35,20 @@
 class RingSimulation:
     """Discrete-event simulation that runs until all living agents hold all chunks."""
 
-    def __init__(self, count: int, chunks: int, holders: int = 0, connections: int = 48):
+    def __init__(
+        self,
+        count: int,
+        chunks: int,
+        holders: int = 0,
+        connections: int = 48,
+        origin_speed: float = 2.0,
+        shares_origin: bool = False,
+    ):
         self.connections = connections
+        #: Speed of the link of the origin relative to that of a VM.
+        self.origin_speed = origin_speed
+        #: Whether the origin sends all chunks that are asked for at the same time, or one after the other.
+        self.shares_origin = shares_origin
         self.digests = [b"%d" % n for n in range(chunks)]
         names = [f"a{n:02}" for n in range(count)]
         self.agents = {
@@ -47,6 +58,10 @@
         self.names = names
         self.now = 0.0
         self.origin_sent = 0
+        #: Seconds of the whole link that each download still needs, by agent and chunk.
+        self._downloads = {}
+        self._origin_advanced_at = 0.0
+        self._origin_epoch = 0
         self.origin_free_at = 0.0
         self.origin_down = False
         self._events: list = []
@@ -57,8 +72,11 @@
 
     def run(self, limit_s: float = 60.0) -> float:
         """Runs the simulation; returns the seconds until every living agent holds all chunks."""
+        # Chunks that are sent one after the other arrive early however many are asked for.
+        chunks_per_s = self.origin_speed / CHUNK_S if self.shares_origin else float("inf")
         for name in self.names:
-            for predecessor in self.agents[name].ring.set_order(self.names, self.connections):
+            ring = self.agents[name].ring
+            for predecessor in ring.set_order(self.names, self.connections, chunks_per_s):
                 self._link(self.agents[name], self.agents[predecessor])
         for n, agent in enumerate(self.agents.values()):
             agent.ring.want(self.digests)
@@ -103,7 +121,11 @@
 
     def _plan(self, agent: SimulatedAgent) -> None:
         for command in agent.ring.plan(self.now):
-            if isinstance(command, CancelFetch):
+            if isinstance(command, CancelFetch) and command.source == ORIGIN:
+                self._advance_origin()
+                self._downloads.pop((agent.name, command.digest), None)
+                self._schedule_origin()
+            elif isinstance(command, CancelFetch):
                 source = self.agents.get(command.source)
                 if source is not None and (agent.name, command.digest) in source.waiting_requests:
                     source.waiting_requests.remove((agent.name, command.digest))
@@ -124,8 +146,39 @@
             agent.ring.record_failure(digest, ORIGIN, self.now)
             return
         self.origin_sent += 1
-        self.origin_free_at = max(self.now, self.origin_free_at) + CHUNK_S / 2
-        self._deliver(agent, digest, self.origin_free_at, ORIGIN)
+        if not self.shares_origin:
+            self.origin_free_at = max(self.now, self.origin_free_at) + CHUNK_S / self.origin_speed
+            self._deliver(agent, digest, self.origin_free_at, ORIGIN)
+            return
+        self._advance_origin()
+        self._downloads[agent.name, digest] = CHUNK_S / self.origin_speed
+        self._schedule_origin()
+
+    def _advance_origin(self) -> None:
+        """Lets the downloads share the link of the origin equally up to now."""
+        share = (self.now - self._origin_advanced_at) / max(1, len(self._downloads))
+        self._origin_advanced_at = self.now
+        for key in self._downloads:
+            self._downloads[key] -= share
+
+    def _schedule_origin(self) -> None:
+        self._origin_epoch += 1
+        if not self._downloads:
+            return
+        epoch = self._origin_epoch
+        remaining_s = min(self._downloads.values()) * len(self._downloads)
+        self.at(self.now + max(0.0, remaining_s), lambda: self._origin_event(epoch))
+
+    def _origin_event(self, epoch: int) -> None:
+        if epoch != self._origin_epoch:
+            return
+        self._advance_origin()
+        done = [key for key, remaining in self._downloads.items() if remaining <= 1e-9]
+        for key in done:
+            del self._downloads[key]
+            name, digest = key
+            self._deliver(self.agents[name], digest, self.now, ORIGIN)
+        self._schedule_origin()
 
     def _receive_request(
         self, source: SimulatedAgent, agent: SimulatedAgent, digest: bytes
--- a/tests/weights/test_ring.py
+++ b/tests/weights/test_ring.py
@@ -35,6 +35,16 @@
     assert simulation.origin_sent <= 1.05 * chunks
 
 
+def test_origin_with_a_narrow_link_sends_one_copy():
+    """Guards against so many downloads at a time that agents take each of them for stalled.
+
+    Load pattern: a version is declared on a site whose origin has hardly more bandwidth than one VM.
+    """
+    simulation = RingSimulation(60, 96, origin_speed=1.3, shares_origin=True)
+    simulation.run()
+    assert simulation.origin_sent <= 1.05 * 96
+
+
 def test_long_ring_is_repaired_when_an_agent_is_lost():
     """Guards against chunks that nobody fetches because the way past a lost agent is interrupted."""
     simulation = RingSimulation(50, 64)
