Ask the origin only for versions that it keeps

The engines came back with version 1, which all stagers tried to get the manifest of. The origin keeps the latest two versions and answered 410, each stager asked again every 0.3 s, and up to 347 such calls a second, each on a connection of its own, took from the link and the 48 connections of the origin what the download of version 3 needed.

Versions before the last but one are not requested from the origin any more, and one that it says it does not keep is not requested again. The three new tests fail without the change (their methods are new; the origin client passed on a failure like any other).

--- a/fescuechute/platform/_engine.py
+++ b/fescuechute/platform/_engine.py
@@ -191,14 +191,18 @@
         origin: Address,
         model: str,
         version: int,
-        on_end: Callable[[tuple[bytes, ...] | str], None],
+        on_end: Callable[[tuple[bytes, ...] | str | None], None],
     ) -> None:
         """Fetches the SHA-256 digests of a version's chunks.
 
-        Calls back with the digests or the reason for the failure.
+        Calls back with the digests, None if the origin does not keep the version any more, or the
+        reason for the failure.
         """
 
         def on_result(result: HttpResult) -> None:
+            if not result.error and result.status == 410:
+                on_end(None)
+                return
             if not result.ok:
                 on_end(_failure_reason(result))
                 return
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -421,7 +421,7 @@
             return
         wait_s = self.transfer.ring.origin_wait_s if self._registry_known else MANIFEST_WAIT_S
         for version in self.manifests.origin_requests(
-            self.model, self.versions.without_manifest(), wait_s, MANIFEST_POLL_S, now
+            self.model, self.versions.at_origin(), wait_s, MANIFEST_POLL_S, now
         ):
             if version not in self._manifests_in_flight:
                 self._manifests_in_flight.add(version)
@@ -431,8 +431,14 @@
         assert origin_service.origin is not None
         model = self.model
 
-        def on_response(response: tuple[bytes, ...] | str) -> None:
+        def on_response(response: tuple[bytes, ...] | str | None) -> None:
             self._manifests_in_flight.discard(version)
+            if response is None:
+                self.telemetry.event(
+                    "manifest.failed", version=version, source=ORIGIN, reason="not kept"
+                )
+                self.manifests.record_not_kept(model, version)
+                return
             if isinstance(response, str):
                 self.telemetry.event(
                     "manifest.failed", version=version, source=ORIGIN, reason=response
--- a/fescuechute/stager/_manifests.py
+++ b/fescuechute/stager/_manifests.py
@@ -18,6 +18,8 @@
 #: would spread to all stagers.
 _REQUIRED_RESPONSES = 2
 _SHA256_BYTES = 32
+#: Limit on the manifests that are remembered as not kept by the origin.
+_MAX_NOT_KEPT = 64
 
 Digests = tuple[bytes, ...]
 #: Model and version.
@@ -59,6 +61,8 @@
         self._responses: defaultdict[Key, Counter[Digests]] = defaultdict(Counter)
         #: Manifests that each linked peer is known to have.
         self._held_by_peer: dict[str, set[Key]] = {}
+        #: Manifests that the origin does not keep any more, in the order in which that became known.
+        self._not_kept: dict[Key, None] = {}
         #: Unix seconds since which a manifest is missing, and from which the origin may be asked again.
         self._missing_since: dict[Key, float] = {}
         self._retry_at: dict[Key, float] = {}
@@ -81,6 +85,12 @@
             self._telemetry.event("manifest.conflict", version=version, responses=len(responses))
         self._retry_at.pop(key, None)
 
+    def record_not_kept(self, model: str, version: int) -> None:
+        """Records that the origin does not keep a version any more; it is not asked for it again."""
+        self._not_kept[model, version] = None
+        if len(self._not_kept) > _MAX_NOT_KEPT:
+            del self._not_kept[next(iter(self._not_kept))]
+
     def receive(self, msg: VersionManifest, peer_id: str) -> None:
         """Records a manifest that a peer sent."""
         key = (msg.model, msg.version)
@@ -129,7 +139,7 @@
           pause_s: Seconds between two requests, unless a response has arrived.
           now: Unix seconds.
         """
-        missing = {(model, version) for version in versions}
+        missing = {(model, version) for version in versions} - self._not_kept.keys()
         for key in self._missing_since.keys() - missing:
             del self._missing_since[key]
         due = [
--- a/fescuechute/stager/_versions.py
+++ b/fescuechute/stager/_versions.py
@@ -8,6 +8,8 @@
 
 #: Version that engines hold before the first declaration.
 FIRST_VERSION = 1
+#: Latest versions that the origin keeps.
+ORIGIN_KEEPS_VERSIONS = 2
 #: A newer declaration supersedes a partially downloaded version if it follows within this share of
 #: the download time. Let D be the download time, A the time allowed from a declaration to the load,
 #: and G the time between the declarations. The engine is then without an allowed version for
@@ -102,6 +104,11 @@
             and (state.version != FIRST_VERSION or state.version in (self._loaded, self.newest))
         ]
 
+    def at_origin(self) -> list[int]:
+        """Returns the versions whose manifest is needed and may still be kept by the origin."""
+        oldest = self.newest - ORIGIN_KEEPS_VERSIONS + 1
+        return [version for version in self.without_manifest() if version >= oldest]
+
     def get(self, version: int) -> VersionState | None:
         """Returns the state of a version, or None if it is not known."""
         return self._states.get(version)
--- a/tests/platform/test_origin_client.py
+++ b/tests/platform/test_origin_client.py
@@ -38,3 +38,15 @@
         assert results.get(timeout=TIMEOUT_S) == expected
         conn.settimeout(RELEASE_S)
         assert conn.recv(1) == b""
+
+
+def test_dropped_version_is_told_from_a_failure():
+    """Guards against a version that the origin has dropped and that is requested again and again."""
+    upstream, results = RawUpstream(), queue.Queue()
+    with running_loop(HttpClient) as (loop, http):
+        client, origin = OriginClient(http), Address("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.fetch_manifest(origin, "m", 1, results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+        assert results.get(timeout=TIMEOUT_S) is None
--- a/tests/stager/test_manifests.py
+++ b/tests/stager/test_manifests.py
@@ -245,3 +245,14 @@
             stager._request_manifests(stager.clock.now() + 10.0)
             stager.transfer.tick()
     assert refused.versions.get(2).digests == GOOD
+
+
+def test_version_that_the_origin_does_not_keep_is_requested_once():
+    """Guards against stagers that ask for a dropped version for good and fill the link of the origin.
+
+    Load pattern: all VMs lose their power after two declarations; engines come back with the first version.
+    """
+    manifests = ManifestExchange(None, lambda _: False, lambda *_: None, QuietTelemetry())
+    assert manifests.origin_requests("m", [1, 3], 0.0, POLL_S, 0.0) == [1, 3]
+    manifests.record_not_kept("m", 1)
+    assert manifests.origin_requests("m", [1, 3], 0.0, POLL_S, 10.0) == [3]
--- a/tests/stager/test_versions_and_load_planner.py
+++ b/tests/stager/test_versions_and_load_planner.py
@@ -97,6 +97,15 @@
         versions.set_loaded(1)
         assert versions.without_manifest() == [1, 3]
 
+    def test_dropped_versions_are_not_requested_from_the_origin(self):
+        """Guards against engines of the first version, after a loss of power, that ask for it for good."""
+        versions = version_plan(set())
+        versions.declare(2)
+        versions.set_loaded(1)
+        assert versions.at_origin() == [1, 2]
+        versions.declare(3)
+        assert versions.at_origin() == [2, 3]
+
     def test_versions_older_than_the_loaded_one_are_forgotten(self):
         """Guards against a store that grows with each version."""
         versions = version_plan(set(CHUNKS_1) | set(CHUNKS_2), v1=CHUNKS_1, v2=CHUNKS_2)
