--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -69,8 +69,8 @@
 
     def __init__(self, part: str, settings_path: str, tick_s: float):
         self.settings_path = settings_path
-        self._settings_bytes = Path(settings_path).read_bytes()
         self.settings: NodeSettings = load_node_settings(settings_path)
+        self._settings_bytes = Path(settings_path).read_bytes()
         self._next_settings_check_at = 0.0
         self._reload_signalled = False
         self.clock = SystemClock()
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -235,7 +235,9 @@
 
     def _stage_and_load(self, now: float) -> None:
         target, loaded = self.versions.to_load(), self.versions.get(self.versions.loaded)
-        can_reload = loaded is not None and loaded.is_complete(self.transfer.store)
+        verified = self.load_planner.verification.state is LoadState.VERIFIED
+        # Only a load that may have to be replaced is looked up in the store, since each tick gets here.
+        can_reload = not verified and loaded is not None and loaded.is_complete(self.transfer.store)
         commands = self.load_planner.plan(target, self._report, now, loaded, can_reload)
         self._log_load_state()
         for command in commands:
--- a/fescuechute/weights/_ring.py
+++ b/fescuechute/weights/_ring.py
@@ -305,15 +305,19 @@
         in_flight = Counter(
             f.source for f in self._fetches.values() if f.available_at < float("inf")
         )
+        sources_by_distance: dict[int, tuple[bool, list[_Peer]]] = {}
         for digest, distance in self._missing.items():
             fetch = self._fetches.get(digest)
             if fetch is not None and fetch.available_at < float("inf"):
                 continue
-            responsible = self._is_responsible(distance, now)
-            peers = usable if responsible else eligible
-            skip_source = self._skip_source(distance, now)
-            if skip_source is not None:
-                peers = [skip_source, *peers]
+            if distance not in sources_by_distance:
+                responsible = self._is_responsible(distance, now)
+                peers = usable if responsible else eligible
+                skip_source = self._skip_source(distance, now)
+                if skip_source is not None:
+                    peers = [skip_source, *peers]
+                sources_by_distance[distance] = responsible, peers
+            responsible, peers = sources_by_distance[distance]
             holders = [peer.id for peer in peers if digest in peer.announced]
             free = [peer_id for peer_id in holders if in_flight[peer_id] < window]
             source = min(free, key=lambda peer_id: in_flight[peer_id], default=None)
@@ -371,8 +375,11 @@
         in_flight = Counter(
             fetch.source for fetch in self._fetches.values() if fetch.available_at == float("inf")
         )
+        source_by_distance: dict[int, _Peer] = {}
         for digest, distance in self._missing.items():
-            source = self._skip_source(distance, now) or nearest
+            source = source_by_distance.get(distance)
+            if source is None:
+                source = source_by_distance[distance] = self._skip_source(distance, now) or nearest
             if in_flight[source.id] >= window:
                 if source is nearest:
                     break
