Count a replica as full from its second refusal in a row

The first refusal of a replica stopped all requests to it for 0.4 s. A single refusal no longer counts, a second one in a row does, so an engine that refuses everything costs each gateway one attempt more.

--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -12,8 +12,10 @@
 #: failure, up to the maximum. A crashed replica is back after some seconds.
 BACKOFF_MIN_S = 0.4
 BACKOFF_MAX_S = 3.0
-#: Seconds for which a replica that refused a request counts as full. The time doubles with each
-#: consecutive refusal, up to the maximum.
+#: Consecutive refusals from which on a replica counts as full. A single one may concern its request.
+REFUSALS_OF_A_FULL_REPLICA = 2
+#: Seconds for which it then counts as full. The time doubles with each further refusal, up to the
+#: maximum.
 REFUSAL_PAUSE_MIN_S = 0.4
 REFUSAL_PAUSE_MAX_S = 3.0
 #: Weight of the latest outcome in the moving average of failed requests.
@@ -75,7 +77,7 @@
     leaving: bool = False
     #: Unix seconds until which the replica wants no requests from this gateway, by its `Retry-After`.
     refuses_until: float = 0.0
-    #: Unix seconds until which the replica counts as full, because it has refused a request.
+    #: Unix seconds until which the replica counts as full, because it has refused requests.
     full_until: float = 0.0
     #: Unix seconds of the last refusal, and the number of refusals since a response last started.
     refused_at: float = float("-inf")
@@ -205,9 +207,11 @@
         if now < self.full_until:
             # The answer to a request that was sent before the refusal that is known.
             return
-        pause_s = REFUSAL_PAUSE_MIN_S * 2 ** min(self.consecutive_refusals, 8)
-        self.full_until = now + min(REFUSAL_PAUSE_MAX_S, pause_s)
         self.consecutive_refusals += 1
+        further = self.consecutive_refusals - REFUSALS_OF_A_FULL_REPLICA
+        if further >= 0:
+            pause_s = REFUSAL_PAUSE_MIN_S * 2 ** min(further, 8)
+            self.full_until = now + min(REFUSAL_PAUSE_MAX_S, pause_s)
 
     def record_unreachable(self, now: float) -> None:
         """Records a failed connection or a misdirected request, and extends the backoff."""
