--- a/fescuechute/gateway/__init__.py
+++ b/fescuechute/gateway/__init__.py
@@ -15,6 +15,7 @@
     prefill_s,
 )
 from fescuechute.gateway._loads import LoadListener
+from fescuechute.gateway._spill import SpillQuota
 from fescuechute.gateway._subset import Subset, SubsetSelector
 from fescuechute.gateway._transfer import Transfer
 from fescuechute.gateway._upstreams import UpstreamRow, UpstreamTable
@@ -33,6 +34,7 @@
     "LoadListener",
     "Requirements",
     "Shortage",
+    "SpillQuota",
     "Subset",
     "SubsetSelector",
     "Transfer",
--- a/tests/gateway/test_spill.py
+++ b/tests/gateway/test_spill.py
@@ -6,7 +6,8 @@
 import pytest
 
 from fescuechute.catalog import EngineReport
-from fescuechute.gateway._spill import WINDOW_S, SpillQuota
+from fescuechute.gateway import SpillQuota
+from fescuechute.gateway._spill import WINDOW_S
 from tests.gateway.transfer_harness import make_row
 
 MAX_REQUESTS = 8
