Ask the origin for the newest version whatever it has answered before

A damaged response of the origin that reads 410 for the newest version would have stopped a stager from asking for it again, and its engine would get no declared version until a peer sent the manifest. The newest version that is missing is requested in any case.

--- a/fescuechute/stager/_manifests.py
+++ b/fescuechute/stager/_manifests.py
@@ -139,7 +139,14 @@
           pause_s: Seconds between two requests, unless a response has arrived.
           now: Unix seconds.
         """
-        missing = {(model, version) for version in versions} - self._not_kept.keys()
+        wanted = set(versions)
+        newest = max(wanted, default=0)
+        # The origin keeps the newest version, whatever a damaged response says.
+        missing = {
+            (model, version)
+            for version in wanted
+            if version == newest or (model, version) not in self._not_kept
+        }
         for key in self._missing_since.keys() - missing:
             del self._missing_since[key]
         due = [
--- a/tests/stager/test_manifests.py
+++ b/tests/stager/test_manifests.py
@@ -256,3 +256,11 @@
     assert manifests.origin_requests("m", [1, 3], 0.0, POLL_S, 0.0) == [1, 3]
     manifests.record_not_kept("m", 1)
     assert manifests.origin_requests("m", [1, 3], 0.0, POLL_S, 10.0) == [3]
+
+
+def test_newest_version_is_requested_again_although_it_was_not_kept():
+    """Guards against a stager that never gets a declared version because of one damaged response."""
+    manifests = ManifestExchange(None, lambda _: False, lambda *_: None, QuietTelemetry())
+    assert manifests.origin_requests("m", [3], 0.0, POLL_S, 0.0) == [3]
+    manifests.record_not_kept("m", 3)
+    assert manifests.origin_requests("m", [3], 0.0, POLL_S, 10.0) == [3]
