Take no response with a status that no response may have

Callers of a gateway got the statuses 600 to 999 of a replica in trouble as their answer, and a 204 that declared a body as a success without it. A 1xx that declared a body held the request until the deadline.

Cause: h11 refuses 000 to 099 and 101, but takes any other three digits, and skips a body that a 1xx or 204 declares; neither HTTP client looked at the status again.

Change: both clients, for replicas and for store, relays, engines and services, fail a response whose final status is not 200 to 599, and a 1xx or 204 that declares a body, as malformed. The replica counts as failing, a repeatable request or stream goes on at another one, any other gets 502, and the connection is closed. One of a 304 that declares a length is not reused, since a body could still follow. The command line refuses such a status likewise.

--- a/fescuechute/checks/__init__.py
+++ b/fescuechute/checks/__init__.py
@@ -15,6 +15,7 @@
 """
 
 from fescuechute.checks._findings import INVALID, Findings, describe
+from fescuechute.checks._statuses import is_final_status
 from fescuechute.checks._tables import Table, Tables, checked, read_table
 from fescuechute.checks._values import (
     Address,
@@ -48,5 +49,6 @@
     "Texts",
     "checked",
     "describe",
+    "is_final_status",
     "read_table",
 ]
--- a/fescuechute/cli/_http.py
+++ b/fescuechute/cli/_http.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fescuechute.checks import Address
+from fescuechute.checks import Address, is_final_status
 from fescuechute.errors import PlatformError
 
 
@@ -68,6 +68,8 @@
         try:
             conn.request(method, path, payload, headers)
             response = conn.getresponse()
+            if not is_final_status(response.status):
+                raise http.client.BadStatusLine(f"{response.status}, expected 200 to 599")
             return Response(response.status, response.read())
         except (OSError, http.client.HTTPException) as exc:
             found = f"{server} sent no complete response: {type(exc).__name__} {exc}."
--- a/fescuechute/forwarding/_upstreams.py
+++ b/fescuechute/forwarding/_upstreams.py
@@ -19,6 +19,8 @@
     Clock,
     Connection,
     SocketOwner,
+    check_head,
+    declares_body,
     is_connection_refused,
 )
 
@@ -114,6 +116,8 @@
     informational_responses: int = 0
     #: Timeout from the `Keep-Alive` field of the response, in seconds.
     announced_keep_alive_s: float | None = None
+    #: Whether the head declares a body that a response with its status does not have.
+    lacks_body: bool = False
     #: Whether the head of the response was passed to the listener.
     head_received: bool = False
     #: Whether the call was completed, failed or cancelled.
@@ -294,6 +298,7 @@
             if isinstance(event, h11.Response):
                 self._on_head(call, event)
             elif isinstance(event, h11.InformationalResponse):
+                check_head(event)
                 self._on_informational(call)
             elif isinstance(event, h11.Data):
                 self._on_body(call, bytes(event.data))
@@ -303,11 +308,13 @@
                 self._fail(call, CallFailure.BROKEN, PEER_CLOSED)
 
     def _on_head(self, call: UpstreamCall, event: h11.Response) -> None:
+        check_head(event)
         headers = list(event.headers.raw_items())
         call.skipping_response = not call.matches_request(headers)
         if not call.skipping_response:
             call.head_received = True
             call.announced_keep_alive_s = keep_alive_timeout_s(headers)
+            call.lacks_body = event.status_code == 304 and declares_body(event)
             call.listener.on_head(event.status_code, headers)
 
     def _on_informational(self, call: UpstreamCall) -> None:
@@ -365,7 +372,8 @@
         )
         # After unsolicited bytes, later responses could no longer be matched to their requests.
         # An upstream may respond before it has read the request; the rest of that would be kept.
-        if not reusable or trailing or closed or is_surplus or conn.buffered:
+        is_desynchronised = bool(trailing or closed or conn.buffered) or call.lacks_body
+        if not reusable or is_desynchronised or is_surplus:
             conn.close()
             return
         now = self._clock.now()
--- a/fescuechute/net/__init__.py
+++ b/fescuechute/net/__init__.py
@@ -2,7 +2,7 @@
 
 from fescuechute.net._clock import Clock, ManualClock, SystemClock
 from fescuechute.net._datagrams import DatagramSocket
-from fescuechute.net._framing import BodyParts
+from fescuechute.net._framing import BodyParts, check_head, declares_body
 from fescuechute.net._http import MAX_BODY_BYTES, HttpCall, HttpClient, HttpResult
 from fescuechute.net._links import Link, LinkHandler, LinkHub
 from fescuechute.net._loop import Loop, tick
@@ -30,6 +30,8 @@
     "ManualClock",
     "SocketOwner",
     "SystemClock",
+    "check_head",
+    "declares_body",
     "is_connection_refused",
     "tick",
 ]
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -15,7 +15,7 @@
 import h11
 
 from fescuechute.net._clock import Clock
-from fescuechute.net._framing import BodyParts
+from fescuechute.net._framing import BodyParts, check_head, declares_body
 from fescuechute.net._sockets import PEER_CLOSED, Connection, SocketOwner
 
 #: Idle connections kept per server.
@@ -91,6 +91,8 @@
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
+    #: Whether the head declares a body that a response with its status does not have.
+    lacks_body: bool = False
     body: bytearray = attrs.field(factory=bytearray)
     body_parts: BodyParts = attrs.field(factory=BodyParts)
     #: Limit on a collected body in bytes.
@@ -274,8 +276,11 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Response):
+                    check_head(event)
                     call.status = event.status_code
+                    call.lacks_body = call.status == 304 and declares_body(event)
                 elif isinstance(event, h11.InformationalResponse):
+                    check_head(event)
                     call.informational_responses += 1
                     if call.informational_responses > _MAX_INFORMATIONAL_RESPONSES:
                         self._fail(call, "too many informational responses")
@@ -309,6 +314,7 @@
         keep_alive = (
             call.keep_idle_s > 0
             and call.protocol.their_state is h11.DONE
+            and not call.lacks_body
             and len(pool) < _MAX_IDLE_PER_SERVER
         )
         # After unsolicited bytes, later responses could not be matched to their requests.
--- a/tests/forwarding/test_upstreams.py
+++ b/tests/forwarding/test_upstreams.py
@@ -15,6 +15,7 @@
     read_until,
     running_loop,
 )
+from tests.net.statuses import INVALID_HEADS
 
 REQUEST = OutboundRequest(b"POST", b"/a?b=1", [(b"Host", b"a.example")], b"body")
 
@@ -220,3 +221,29 @@
             except TimeoutError:
                 continue
         assert len(conns) - closed == kept
+
+
+def test_response_with_an_invalid_status_is_malformed():
+    """Guards against a status such as 000 or 600 that is passed on to the client."""
+    upstream = RawUpstream()
+    with running_loop(make_upstream_client) as (loop, client):
+        for name, data in INVALID_HEADS:
+            listener = start_call(loop, client, upstream)
+            conn = upstream.accept()
+            read_until(conn, b"body")
+            conn.sendall(data)
+            assert listener.next_event() == ("failed", "malformed"), name
+            assert conn.recv(1) == b"", name
+
+
+def test_connection_of_a_response_that_declares_a_body_it_must_not_have_is_not_reused():
+    """Guards against the late body of a 304 that is read as the next response."""
+    upstream = RawUpstream()
+    with running_loop(make_upstream_client) as (loop, client):
+        first = start_call(loop, client, upstream)
+        conn = upstream.accept()
+        read_until(conn, b"body")
+        conn.sendall(b"HTTP/1.1 304 X\r\nContent-Length: 5\r\n\r\n")
+        assert [first.next_event(), first.next_event()] == [("head", 304), ("end", b"")]
+        start_call(loop, client, upstream)
+        assert read_until(upstream.accept(), b"body")
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -9,6 +9,7 @@
 from fescuechute.net import HttpClient, ManualClock
 from fescuechute.net._http import MAX_BODY_BYTES
 from tests.forwarding.harness import TIMEOUT_S, RawUpstream, read_until, running_loop
+from tests.net.statuses import INVALID_HEADS
 
 _PART = b"x" * (256 * 1024)
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -128,3 +129,37 @@
         conn.close()
         result = results.get(timeout=TIMEOUT_S)
         assert result.error and not result.ok
+
+
+def test_response_with_an_invalid_status_fails_the_call():
+    """Guards against a status such as 000 or 600 that is taken for an answer, or passed on."""
+    upstream, results = RawUpstream(), queue.Queue()
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        for name, data in INVALID_HEADS:
+            loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+            conn = upstream.accept()
+            read_until(conn, b"\r\n\r\n")
+            conn.sendall(data)
+            result = results.get(timeout=TIMEOUT_S)
+            assert (result.status, bool(result.error)) == (0, True), name
+            assert conn.recv(1) == b"", name
+
+
+@pytest.mark.parametrize(
+    ("status", "kept"), [(b"200", True), (b"204", True), (b"304", False), (b"599", True)]
+)
+def test_connection_is_kept_only_if_no_body_can_follow(status, kept):
+    """Guards against the late body of a response without one that is read as the next response."""
+    upstream, results = RawUpstream(), queue.Queue()
+    length = b"" if status == b"204" else b"Content-Length: 3\r\n"
+    body = b"" if status in (b"204", b"304") else b"one"
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(b"HTTP/1.1 " + status + b" X\r\n" + length + b"\r\n" + body)
+        assert results.get(timeout=TIMEOUT_S).status == int(status)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+        assert read_until(conn if kept else upstream.accept(), b"\r\n\r\n")
--- a/tests/platform/test_faulty_responses.py
+++ b/tests/platform/test_faulty_responses.py
@@ -340,3 +340,44 @@
     assert single.send("/a/x")[1] == 503
     assert 8.0 < single.retry_after_s < 10.0
     assert len(single.replica.received) == 1
+
+
+def with_status(status, request):
+    """Returns a response of the replica that is whole but for its status."""
+    return head(status, *own_fields(request), b"Content-Length: 5") + b"wrong"
+
+
+INVALID_STATUSES = [b"000 X", b"099 X", b"101 X", b"103 X", b"204 X", b"20 X", b"600 X", b"999 X"]
+
+
+@pytest.mark.parametrize("kind", PATHS)
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_invalid_status_is_never_the_answer(system, kind, status):
+    """Guards against a client that gets a status such as 000 or 600 of a replica in trouble."""
+    path = PATHS[kind]
+    system.replica.script = lambda request: (
+        complete(request) if request.attempts else [with_status(status, request)]
+    )
+    request_id, *answer = system.send(path)
+    assert answer == ([502, b"", True] if kind == "booking" else [200, WHOLE[path], True])
+    assert system.replica.attempts(request_id) == (1 if kind == "booking" else 2)
+    system.replica.script = lambda request: [with_status(status, request)]
+    assert system.send(path)[1:] == (502, b"", True)
+
+
+@pytest.mark.parametrize("status", [b"000 X", b"204 X", b"600 X"])
+@pytest.mark.parametrize(
+    ("kind", "first", "expected"),
+    [
+        ("stream", lambda request: stream(request)[:-20], (200, False)),
+        ("idempotent", lambda r: head(b"500 E", *own_fields(r), b"Content-Length: 3") + b"own", (500, True)),
+    ],
+)  # fmt: skip
+def test_invalid_status_after_an_earlier_failure(system, kind, status, first, expected):
+    """Guards against such a status in a resumed stream, or in place of a replica's own failure."""
+    system.replica.script = lambda request: (
+        [with_status(status, request)] if request.attempts else [first(request), b""]
+    )
+    request_id, *answer = system.send(PATHS[kind])
+    assert (answer[0], answer[2]) == expected
+    assert system.replica.attempts(request_id) == 2
