Never take a member of a service's answer for its HTTP status

A caller of a service whose JSON answer had a member "status" got that member as its HTTP status: "000" or 0 became status 000, and "ok" or a missing number broke the handler of the entry, so that the call was left without an answer until its deadline.

Cause: the agent wrote the members of the answer over the HTTP status of the same name, and the entry took whatever `int()` made of it: texts, booleans, fractions, any range.

Change: the HTTP status of the service wins at the agent. The entry treats an answer without an integer status from 200 to 599 as incomplete, as it does one with a wrong digest: a repeatable call is tried again, one under a claim has an unknown outcome. Records of outcomes in the log follow the same rule.

Result: tests/agent, tests/entry and tests/claims/test_claim_records.py pass.

--- a/fescuechute/agent/_service.py
+++ b/fescuechute/agent/_service.py
@@ -123,7 +123,7 @@
         assert isinstance(msg, Call)
         payload = result.json()
         content = payload if isinstance(payload, dict) else {"error": "the answer is not JSON"}
-        body = json.dumps({"status": result.status, **content}, sort_keys=True)
+        body = json.dumps({**content, "status": result.status}, sort_keys=True)
         if self._has_claim(row):
             record = OutcomeRecord(msg.claim_id, result.status, body)
             orphaned = msg.request_id in self._orphaned_ids
--- a/fescuechute/claims/_records.py
+++ b/fescuechute/claims/_records.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from fescuechute.checks import is_final_status
 from fescuechute.claims._keys import Key, Scope
 from fescuechute.errors import RefusedError
 
@@ -91,8 +92,8 @@
     def from_data(cls, data: dict[str, Any]) -> OutcomeRecord:
         """Parses the JSON object of a log record, or raises `ValueError`."""
         status, body = data.get("status"), data.get("body")
-        if type(status) is not int or not 100 <= status <= 599:
-            raise ValueError(f"status is {status!r:.100}, expected an HTTP status.")
+        if not is_final_status(status):
+            raise ValueError(f"status is {status!r:.100}, expected an integer from 200 to 599.")
         if not isinstance(body, str):
             raise ValueError("body is missing, expected a string.")
         return cls(_require_text(data, "claim_id"), status, body)
--- a/fescuechute/entry/_calls.py
+++ b/fescuechute/entry/_calls.py
@@ -7,6 +7,7 @@
 
 from blake3 import blake3
 
+from fescuechute.checks import is_final_status
 from fescuechute.entry._dispatch import RETRY_AFTER_S
 from fescuechute.entry._rows import CallRow, RequestRow
 from fescuechute.entry._validate import CallRequest
@@ -57,11 +58,11 @@
     def handle_end(self, row: RequestRow, msg: End) -> None:
         """Verifies the result of the service and passes it to the caller or the claim table."""
         assert isinstance(row, CallRow)
-        if blake3(msg.body.encode()).hexdigest() != msg.digest:
+        status = _parse_status(msg.body)
+        if status is None or blake3(msg.body.encode()).hexdigest() != msg.digest:
             self.handle_failure(row, Reason.INCOMPLETE_ANSWER, None)
             return
         self._node.dispatcher.finish(row)
-        status = int(json.loads(msg.body)["status"])
         if row.claim_id:
             self._node.claims.finished(row.request_id, status, msg.body)
         else:
@@ -141,3 +142,13 @@
     def _refuse(self, row: CallRow, exc: RefusedError) -> None:
         self._node.dispatcher.finish(row)
         self._node.refuse(row.responder, exc, row.request_id)
+
+
+def _parse_status(body: str) -> int | None:
+    """Returns the HTTP status in the JSON text of an answer, or None if it has no valid one."""
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    status = answer.get("status") if isinstance(answer, dict) else None
+    return status if is_final_status(status) else None
--- a/tests/claims/test_claim_records.py
+++ b/tests/claims/test_claim_records.py
@@ -91,6 +91,13 @@
         pytest.param(
             {"type": "outcome", "claim_id": "e1/1", "status": True, "body": ""}, id="status"
         ),
+        *(
+            pytest.param(
+                {"type": "outcome", "claim_id": "e1/1", "status": status, "body": "{}"},
+                id=f"status_{status}",
+            )
+            for status in ("000", 0, 100, 199, 600, 200.0)
+        ),
         pytest.param({"type": "outcome", "claim_id": "e1/1", "status": 200}, id="no_body"),
         pytest.param({"type": "release", "claim_id": "e1/1"}, id="release_without_holder"),
     ],
