Keep registry entries, configurations and declarations against an older copy

After a return of the store from a copy, a replica known to drain, to be gone or to have moved would have got requests again by an old entry, and a stager would have gone back to an older origin or version.

Cause: the registry and the stager took whatever record came last; the start time only served to notice restarts, and the heartbeat count was not read.

Change: an entry carries its heartbeat count, which does not make it a change. Nothing is compared where the start time, or for one start the count, is missing. A relay passes on each heartbeat of a new or restarted replica for 4 s, so that a follower that knows a higher count learns of it. A stager ignores a configuration below the one in force and keeps the highest pending declaration of a model.

--- a/fescuechute/catalog/__init__.py
+++ b/fescuechute/catalog/__init__.py
@@ -4,6 +4,7 @@
 platform adapter decodes into these types, and the gateway and the stager use them for decisions.
 """
 
+from fescuechute.catalog._removed import RemovedReplicas
 from fescuechute.catalog._requests import ForwardedMeta, RequestMeta, ResponseMeta
 from fescuechute.catalog._routes import RouteTable, split_service
 from fescuechute.catalog._types import (
@@ -34,6 +35,7 @@
     "LoadState",
     "LoadedModel",
     "Registration",
+    "RemovedReplicas",
     "RequestMeta",
     "ResponseMeta",
     "RetryPolicy",
--- a/fescuechute/catalog/_types.py
+++ b/fescuechute/catalog/_types.py
@@ -211,6 +211,22 @@
     #: Seconds for which the replica is still cold, from the time at which it wrote the entry. A
     #: heartbeat that only counts it down does not change the entry.
     cold_left_s: float = attrs.field(default=0.0, eq=False)
+    #: Heartbeats that the replica has written since its start, None if unknown. One that only raises the
+    #: count does not change the entry.
+    heartbeats: int | None = attrs.field(default=None, eq=False)
+
+    def is_older_than(self, born_ms: int, heartbeats: int | None) -> bool:
+        """Returns whether the replica wrote this entry before one of that start and heartbeat count.
+
+        Entries without a start time cannot be compared, and those of one start only by their counts.
+        """
+        if not self.born_ms or not born_ms:
+            return False
+        if self.born_ms != born_ms:
+            return self.born_ms < born_ms
+        if self.heartbeats is None or heartbeats is None:
+            return False
+        return self.heartbeats < heartbeats
 
 
 class LoadState(enum.StrEnum):
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -548,12 +548,16 @@
             self._on_entry_removed(record.key)
             return
         self._has_known_replicas = True
+        if self.upstreams.is_outdated(entry):
+            self.telemetry.count("registration.outdated")
+            return
         row = self.upstreams.get(entry.instance)
         previous = row.entry if row is not None else None
-        # Heartbeats that change nothing are not passed on.
+        # Heartbeats that change nothing are passed on only for a short time: a follower that has removed
+        # the replica takes the first one that is newer than the entries it knew.
         now = self.clock.now()
         is_changed = row is None or entry != row.entry or row.changes_cold(entry, now)
-        if row is None or is_changed or row.expires_at is not None:
+        if row is None or is_changed or row.expires_at is not None or row.is_recent(now):
             self.registry_relay.add(record)
         if self.upstreams.register(entry, now) or (previous and previous.state is not entry.state):
             self.telemetry.event(
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-from fescuechute.catalog import EngineReport, LoadState, Registration, UpstreamState
+from fescuechute.catalog import (
+    EngineReport,
+    LoadState,
+    Registration,
+    RemovedReplicas,
+    UpstreamState,
+)
 from fescuechute.gateway._capacity import LearnedCapacity
 
 #: Seconds for which an unreachable replica gets no requests. The time doubles with each consecutive
@@ -28,6 +34,8 @@
 OVERTAKE_TOLERANCE_S = 0.5
 #: Limit on replicas that are remembered as leaving.
 MAX_LEFT = 4096
+#: Seconds for which a replica counts as new: some heartbeats.
+RECENT_S = 4.0
 #: Limit on removed engines whose verified load is remembered.
 MAX_LOADS = 8192
 #: Longest cold time in seconds that an entry is believed.
@@ -227,6 +235,10 @@
             cold_until = now + min(entry.cold_left_s, MAX_COLD_LEFT_S)
             self.cold_until = max(self.cold_until, cold_until)
 
+    def is_recent(self, now: float) -> bool:
+        """Returns whether the replica became known, or started anew, a few heartbeats ago."""
+        return now < self.first_seen_at + RECENT_S
+
     def changes_cold(self, entry: Registration, now: float) -> bool:
         """Returns whether an entry that is equal otherwise starts, prolongs or ends a cold time.
 
@@ -293,6 +305,7 @@
         self._by_address: dict[tuple[str, int], list[UpstreamRow]] = {}
         #: Start time of the last incarnation that stated that it is leaving, by instance, oldest first.
         self._left: dict[str, int] = {}
+        self._removed = RemovedReplicas()
         #: Start time and verified load of removed engines whose stager had reported, by instance, oldest
         #: first.
         self._loads: dict[str, tuple[int, tuple[int, int | None] | None]] = {}
@@ -314,13 +327,28 @@
         """Returns the services with ready replicas."""
         return [service for service, rows in self._by_service.items() if rows]
 
+    def is_outdated(self, entry: Registration) -> bool:
+        """Returns whether an entry is older than the known one of its replica.
+
+        The store may come back from a copy that holds it. Of a replica that was removed, the last entry is
+        outdated as well.
+        """
+        row = self._rows.get(entry.instance)
+        if row is not None:
+            return entry.is_older_than(row.entry.born_ms, row.entry.heartbeats)
+        return self._removed.is_outdated(entry)
+
     def register(self, entry: Registration, now: float = 0.0) -> bool:
         """Applies a registry entry; returns whether the replica is new or was restarted.
 
+        An outdated entry changes nothing.
+
         Args:
           entry: The entry.
           now: Unix seconds.
         """
+        if self.is_outdated(entry):
+            return False
         row = self._rows.get(entry.instance)
         is_new = row is None or (row.entry.born_ms != entry.born_ms and entry.born_ms > 0)
         if row is None or is_new:
@@ -362,9 +390,7 @@
             if row.expires_at is None:
                 row.expires_at = expires_at
             return None
-        del self._rows[instance]
-        self._unindex(row)
-        self._remember_load(row)
+        self._remove(row)
         return row
 
     def expire(self, now: float) -> list[UpstreamRow]:
@@ -375,11 +401,15 @@
             if row.expires_at is not None and row.expires_at <= now
         ]
         for row in expired:
-            del self._rows[row.instance]
-            self._unindex(row)
-            self._remember_load(row)
+            self._remove(row)
         return expired
 
+    def _remove(self, row: UpstreamRow) -> None:
+        del self._rows[row.instance]
+        self._unindex(row)
+        self._remember_load(row)
+        self._removed.add(row.entry)
+
     def record_leaving(self, row: UpstreamRow) -> bool:
         """Records that a replica stated that it is leaving; returns whether that is new.
 
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -268,6 +268,7 @@
         models=_parse_models(body),
         born_ms=_integer(body.get("born", 0)),
         cold_left_s=_number(body.get("cold_left_ms", 0)) * _SECONDS_PER_MS,
+        heartbeats=_integer(body["sequence"]) if "sequence" in body else None,
     )
 
 
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -10,6 +10,7 @@
     EngineReport,
     LoadState,
     Registration,
+    RemovedReplicas,
     Service,
     UpstreamState,
     VersionDeclaration,
@@ -172,10 +173,12 @@
             self.registry_log,
         )
         self._first_read = FirstRead(now(), FIRST_READ_WAIT_S, FIRST_READ_SPREAD_S, self.rng)
+        self._config_version = 0
         self._services: dict[str, Service] = {}
         #: Declared versions that are not planned yet, with the offsets of their records, by model.
         self._declarations: dict[str, tuple[int, int]] = {}
         self._registrations: dict[str, Registration] = {}
+        self._removed = RemovedReplicas()
         #: Whether the registry has been read.
         self._registry_known = False
         #: Latest report of the engine, or None while it does not respond.
@@ -588,13 +591,17 @@
     def _on_operator_record(self, record: KeyedRecord) -> None:
         decoded = self.decode_record(decode_operator_record, record)
         if isinstance(decoded, Configuration):
-            self._services = decoded.services
+            if decoded.version < self._config_version:
+                self.telemetry.count("config.outdated")
+                return
+            self._config_version, self._services = decoded.version, decoded.services
             self.versions.download_s = self._download_s()
             self.transfer.max_chunk_bytes = self._max_chunk_bytes()
             self._update_ring()
             self._plan_declared_version()
         elif isinstance(decoded, VersionDeclaration):
-            self._declarations[decoded.model] = (decoded.version, record.offset)
+            known = self._declarations.get(decoded.model, (0, 0))
+            self._declarations[decoded.model] = max(known, (decoded.version, record.offset))
             self._plan_declared_version()
 
     def _plan_declared_version(self) -> None:
@@ -611,18 +618,30 @@
         self._request_manifests(self.clock.now())
 
     def _on_registration(self, record: KeyedRecord) -> None:
-        previous = self._registrations.pop(record.key, None)
         registration = self.decode_record(decode_registration, record)
+        if registration is not None and self._is_outdated(registration):
+            self.telemetry.count("registration.outdated")
+            return
+        previous = self._registrations.pop(record.key, None)
         if registration is not None:
             self._registrations[record.key] = registration
+        elif previous is not None:
+            self._removed.add(previous)
         # Each heartbeat of a replica writes a record; few of them change the ring.
         if _ring_key(previous) != _ring_key(registration):
             self._update_ring()
 
+    def _is_outdated(self, registration: Registration) -> bool:
+        """Returns whether an entry is older than the known one, or of a replica known to be gone."""
+        known = self._registrations.get(registration.instance)
+        if known is None:
+            return self._removed.is_outdated(registration)
+        return registration.is_older_than(known.born_ms, known.heartbeats)
+
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
         self._registry_known = True
         for key in self._registrations.keys() - keys:
-            del self._registrations[key]
+            self._removed.add(self._registrations.pop(key))
         self._update_ring()
 
 
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -9,7 +9,9 @@
 from tests.gateway.test_choice import PROFILE
 
 
-def entry(instance="i-1", state=UpstreamState.READY, version=1, born=5) -> Registration:
+def entry(
+    instance="i-1", state=UpstreamState.READY, version=1, born=5, heartbeats=None
+) -> Registration:
     return Registration(
         instance,
         "lm",
@@ -19,6 +21,7 @@
         16,
         (LoadedModel("m", version),),
         born,
+        heartbeats=heartbeats,
     )
 
 
@@ -241,3 +244,45 @@
     row = rows.get("i-1")
     assert not rows.register(attrs.evolve(entry(), data_centre="z2"))
     assert (rows.get("i-1") is row, row.region) == (True, "r2")
+
+
+#: Start and heartbeat count of a known entry and of the next one, and whether the next one is taken while
+#: the replica is known, and after it was removed.
+ENTRIES = {
+    "next heartbeat": ((5, 9), (5, 10), True, True),
+    "same heartbeat": ((5, 9), (5, 9), True, False),
+    "old heartbeat": ((5, 9), (5, 8), False, False),
+    "count starts anew": ((5, 9), (6, 0), True, True),
+    "old start": ((5, 9), (4, 90), False, False),
+    "old start without counts": ((5, None), (4, None), False, False),
+    "no start": ((5, 9), (0, 8), True, True),
+    "no start known": ((0, 9), (0, 8), True, True),
+    "no count": ((5, 9), (5, None), True, True),
+    "no count known": ((5, None), (5, 8), True, True),
+}
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+@pytest.mark.parametrize(
+    ("known", "other", "is_taken", "is_taken_back"), ENTRIES.values(), ids=ENTRIES
+)
+def test_entry_of_a_copy_does_not_bring_back_what_is_gone(
+    known, other, is_taken, is_taken_back, is_removed
+):
+    """Guards against requests to a replica that is known to drain or to be gone."""
+    rows = table()
+    rows.register(entry(born=known[0], heartbeats=known[1]))
+    rows.register(entry(born=known[0], heartbeats=known[1], state=UpstreamState.DRAINING))
+    if is_removed:
+        rows.remove("i-1")
+    rows.register(entry(born=other[0], heartbeats=other[1]))
+    assert bool(rows.ready_replicas("lm")) == (is_taken_back if is_removed else is_taken)
+
+
+def test_heartbeat_raises_the_count_without_a_change():
+    """Guards against a known count that stays at that of the last change, below the one of a copy."""
+    rows = table()
+    rows.register(entry(heartbeats=1))
+    rows.register(entry(heartbeats=7))
+    rows.register(entry(heartbeats=6, state=UpstreamState.DRAINING))
+    assert rows.ready_replicas("lm")
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -86,6 +86,7 @@
     entry = decode_registration("i-1", to_json(ENTRY))
     assert (entry.instance, entry.state) == ("i-1", UpstreamState.READY)
     assert entry.born_ms == 1_700_000_000_000
+    assert entry.heartbeats == 4
     assert [model.version for model in entry.models] == [1]
 
 
--- a/tests/platform/test_stager_records.py
+++ b/tests/platform/test_stager_records.py
@@ -52,3 +52,29 @@
     for key in order:
         stager._on_operator_record(RECORDS[key])
     assert stager.versions.newest == 2
+
+
+def test_records_of_a_copy_do_not_bring_back_what_is_gone(stager):
+    """Guards against an old origin, an old pending version, and a ring with a replica that is gone."""
+    for version, origin in ((8, "10.0.0.8:1"), (7, "10.0.0.7:1"), (9, "10.0.0.9:1")):
+        body = {**CONFIGURATION, "version": version, "services": []}
+        body["services"].append({"name": "origin", "origin": origin})
+        stager._on_operator_record(KeyedRecord(version, "config", json.dumps(body).encode()))
+        assert stager._services["origin"].origin.ip == f"10.0.0.{max(8, version)}"
+    for offset, version in ((5, 3), (6, 2)):
+        body = json.dumps({"model": "m", "version": version}).encode()
+        stager._on_operator_record(KeyedRecord(offset, "version/m", body))
+    assert stager._declarations["m"][0] == 3
+    entry = {"service": "lm", "address": "10.0.0.9:80", "zone": "z", "state": "ready", "born": 5}
+    for state, sequence, expected in (
+        ("draining", 8, "draining"),
+        ("ready", 7, "draining"),
+        (None, None, None),
+        ("ready", 8, None),
+        ("ready", 9, "ready"),
+    ):
+        body = {**entry, "state": state, "sequence": sequence}
+        value = None if state is None else json.dumps(body).encode()
+        stager._on_registration(KeyedRecord(1, "i-1", value))
+        known = stager._registrations.get("i-1")
+        assert (known and known.state) == expected
