Let a client that still writes its body read an early refusal of a gateway

A client that was refused early (400, 408, 413, 431, 503) and wrote the rest of its request for longer than a second got a broken pipe in place of the status, and would retry what it must not.

Cause: a refused connection discarded what came up to 1 s and was then closed; the bytes after that, or unread ones, let the kernel reset the connection, which takes the refusal from the client's buffer.

Change: after its half-close, a refused connection discards on for as long as the client sends within each second, up to 10 s and 16 MiB. A server that drains waits for none of them.

--- a/fescuechute/forwarding/_server.py
+++ b/fescuechute/forwarding/_server.py
@@ -121,6 +121,8 @@
 
     def tick(self, now: float) -> None:
         """Closes connections that exceeded a timeout, and slow readers that take too much memory."""
+        if self.draining:
+            self.discarding.clear()
         is_crowded = self.is_crowded
         for conn in list(self._clients):
             conn.check_deadline(now, is_crowded)
@@ -424,6 +426,8 @@
         head += "\r\n"
         if self._response is None and self._conn.is_open:
             self._conn.write(head.encode() + body)
+            # A process that stops cannot wait until the client has sent its body.
+            self._conn.is_refused = not self._server.draining
             self.finish()
 
     def _on_closed(self, _reason: str) -> None:
--- a/fescuechute/net/__init__.py
+++ b/fescuechute/net/__init__.py
@@ -7,6 +7,10 @@
 from fescuechute.net._links import Link, LinkHandler, LinkHub
 from fescuechute.net._loop import Loop, tick
 from fescuechute.net._sockets import (
+    LINGER_S,
+    MAX_DISCARDED_BYTES,
+    MAX_DISCARDING,
+    MAX_LINGER_S,
     PEER_CLOSED,
     Connection,
     SocketOwner,
@@ -14,7 +18,11 @@
 )
 
 __all__ = [
+    "LINGER_S",
     "MAX_BODY_BYTES",
+    "MAX_DISCARDED_BYTES",
+    "MAX_DISCARDING",
+    "MAX_LINGER_S",
     "PEER_CLOSED",
     "BodyParts",
     "Clock",
--- a/fescuechute/net/_sockets.py
+++ b/fescuechute/net/_sockets.py
@@ -35,9 +35,13 @@
 _MAX_FINAL_READS = 8
 #: Seconds that a finished connection waits for the peer to close, or to read more of the buffered
 #: data, before it is closed forcibly.
-_LINGER_S = 1.0
-#: Longest time in seconds in which a peer that reads slowly may take the buffered data.
-_MAX_FLUSH_S = 10.0
+LINGER_S = 1.0
+#: Longest time in seconds for which it waits in all.
+MAX_LINGER_S = 10.0
+#: Bytes of the peer that a finished connection discards, and the number of connections of one owner that
+#: wait while their peers go on sending.
+MAX_DISCARDED_BYTES = 16 << 20
+MAX_DISCARDING = 64
 #: TCP keep-alive: idle seconds before the first probe, seconds between probes, and the number of
 #: unanswered probes that ends the connection. Together they detect a dead connection within 3 s, as
 #: required.
@@ -67,10 +71,15 @@
         self._connecting = connecting
         self._write_queue: deque[memoryview] = deque()
         self._finishing = False
-        #: Monotonic time until which a finished connection may send buffered data.
-        self._flush_deadline = 0.0
+        #: Monotonic time at which a finished connection is closed.
+        self._linger_deadline = 0.0
+        #: Whether the peer may read the answer only after it has sent its request; set before `finish`.
+        self.is_refused = False
         #: Bytes that the peer had not acknowledged when a finished connection was last checked.
         self._last_pending = 0
+        #: Bytes discarded after `finish`, and those when the connection was last checked.
+        self._discarded = 0
+        self._last_discarded = 0
         self._reading = True
         #: Reason of the first failed write, empty before.
         self._write_failure = ""
@@ -116,16 +125,19 @@
 
         Incoming data is read and discarded until the peer closes or the linger time ends: closing a
         socket with unread data resets the connection, and the peer could lose the end of the
-        stream. The linger time starts again while the peer takes buffered data.
+        stream. The linger time starts again while the peer takes buffered data, and with `is_refused` while
+        it sends.
         """
         if self._sock is None or self._finishing:
             return
         self._finishing = True
-        self._flush_deadline = time.monotonic() + _MAX_FLUSH_S
+        self._linger_deadline = time.monotonic() + MAX_LINGER_S
         self._last_pending = self.pending()
         self.set_reading(True)
-        self.on_data = self.on_closed = _no_op
-        self._owner.close_later(self, _LINGER_S)
+        self.on_data, self.on_closed = self._discard, _no_op
+        if self.is_refused and len(self._owner.discarding) < MAX_DISCARDING:
+            self._owner.discarding.add(self)
+        self._owner.close_later(self, LINGER_S)
         if not self._write_queue:
             self._shut_down_writes()
 
@@ -134,13 +146,19 @@
         if self._sock is None:
             return
         pending = self.pending()
-        progressed = pending < self._last_pending
-        self._last_pending = pending
-        if pending and progressed and time.monotonic() < self._flush_deadline:
-            self._owner.close_later(self, _LINGER_S)
+        is_taking = 0 < pending < self._last_pending
+        is_sending = self in self._owner.discarding and self._discarded > self._last_discarded
+        self._last_pending, self._last_discarded = pending, self._discarded
+        if (is_taking or is_sending) and time.monotonic() < self._linger_deadline:
+            self._owner.close_later(self, LINGER_S)
         else:
             self.close()
 
+    def _discard(self, data: bytes) -> None:
+        self._discarded += len(data)
+        if self._discarded > MAX_DISCARDED_BYTES:
+            self.close()
+
     def pending(self) -> int:
         """Returns the bytes that the peer has not acknowledged, those in the kernel included."""
         if self._sock is None:
@@ -159,6 +177,7 @@
     def close(self) -> None:
         """Closes immediately without calling `on_closed`; buffered data is discarded."""
         if self._sock is not None:
+            self._owner.discarding.discard(self)
             self._owner.remove_socket(self._sock)
             self._sock.close()
             self._sock = None
@@ -269,6 +288,8 @@
         self._deferred_failures: list[tuple[Connection, str]] = []
         #: Lingering connections with the monotonic time at which to close them, earliest first.
         self._deferred_closes: deque[tuple[float, Connection]] = deque()
+        #: Finished connections that discard what their peers still send.
+        self.discarding: set[Connection] = set()
         #: Total bytes read from and written to all connections.
         self.bytes_in = 0
         self.bytes_out = 0
--- a/tests/forwarding/test_forwarding_server.py
+++ b/tests/forwarding/test_forwarding_server.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 server: framing, limits, timeouts, disconnects and draining."""
 
+import contextlib
 import socket
 import time
 
 import pytest
 
 from fescuechute.catalog import ClientLimits
+from fescuechute.net import LINGER_S, MAX_DISCARDED_BYTES, MAX_DISCARDING
 from tests.forwarding.harness import (
     TIMEOUT_S,
     read_until,
@@ -13,6 +15,7 @@
     running_loop,
     server_factory,
 )
+from tests.net.slow_caller import send_slowly
 
 
 def echo(request):
@@ -192,3 +195,43 @@
             _wait_for(lambda count=served: len(requests) > count)
             loop.call_at(0.0, lambda n=served: requests[n].response.send(200, [], b"done"))
             read_until(conn, b"done")
+
+
+REFUSED = {
+    "413 by its length": (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n", b"413"),
+    "413 by its chunks": (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1e8480\r\n", b"413"),
+    "400 malformed": (b"POST / HTTP/9\r\nContent-Length: 3000000\r\n\r\n", b"400"),
+    "431 long head": (b"POST / HTTP/1.1\r\nHost: a\r\nX-A: ", b"431"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("head", "status"), REFUSED.values(), ids=REFUSED)
+def test_early_refusal_reaches_a_client_that_still_writes(head, status):
+    """Guards against a refusal that is lost to a reset while the client sends the rest of its body."""
+    with serve(None) as (_loop, server):
+        port = server.listen("127.0.0.1", 0)
+        received = send_slowly(port, head, b"x" * 100_000, parts=30, pause_s=0.08)
+        assert received.startswith(b"HTTP/1.1 " + status)
+
+
+def test_refused_clients_that_go_on_writing_are_bounded():
+    """Guards against crowds of refused clients that occupy connections, and against endless bodies."""
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n"
+    with serve(None) as (_loop, server):
+        port = server.listen("127.0.0.1", 0)
+        conns = [socket.create_connection(("127.0.0.1", port)) for _ in range(MAX_DISCARDING + 16)]
+        for conn in conns:
+            conn.sendall(head)
+        open_until = time.monotonic() + 2.5 * LINGER_S
+        while time.monotonic() < open_until:
+            for conn in conns:
+                with contextlib.suppress(OSError):
+                    conn.sendall(b"x")
+            time.sleep(0.1)
+        assert 0 < server.open_connections <= MAX_DISCARDING
+        with pytest.raises(OSError, match=r"reset|pipe"):
+            send_slowly(
+                port, head, b"x" * (1 << 20), parts=2 * MAX_DISCARDED_BYTES >> 20, pause_s=0
+            )
+        for conn in conns:
+            conn.close()
