Let a caller that still writes its body read an early refusal of an entry

A caller whose body was too large, or whose head was malformed, got a broken pipe instead of the 413 or 400 if the entry refused it before the whole body had arrived.

Cause: the refusal was followed by a close at once. With unread bytes, the kernel resets the connection, and the caller loses the refusal, already sent or even received, to the reset.

Malformed heads that circuits.web rejects take the same way.

--- a/fescuechute/web/_server.py
+++ b/fescuechute/web/_server.py
@@ -14,7 +14,6 @@
 
 import attrs
 from circuits import BaseComponent, Event, handler
-from circuits.net.events import close
 from circuits.web.events import response, stream
 from circuits.web.servers import BaseServer
 from circuits.web.wrappers import Request, Response
@@ -22,6 +21,7 @@
 from fescuechute.errors import Reason, RefusedError, refusal
 from fescuechute.forwarding import MemoryAccount
 from fescuechute.logs import part_logger
+from fescuechute.web._lingering import LingeringCallers
 
 #: Maximum size of a request head in bytes, in addition to the body.
 _MAX_HEAD_BYTES = 16 * 1024
@@ -170,7 +170,7 @@
         self._received_bytes: dict[socket.socket, int] = {}
         #: Bytes reserved in the account for each incomplete request.
         self._reserved_bytes: dict[socket.socket, int] = {}
-        #: Connections that were refused and are about to be closed; nothing more is parsed for them.
+        #: Connections that were refused; nothing more is parsed for them until they are closed.
         self._refused: set[socket.socket] = set()
         #: Upper bound of the bytes in the send buffer, by caller.
         self._buffered_bytes: dict[socket.socket, int] = {}
@@ -180,6 +180,7 @@
         self._web = _WebServer(
             bind, channel=_CHANNEL, display_banner=False, bufsize=_READ_BYTES
         ).register(self)
+        self._lingering = LingeringCallers(self._web.server._close)
 
     @property
     def port(self) -> int:
@@ -201,6 +202,7 @@
             self._count("callers.incomplete")
             self._request_deadlines.pop(sock)
             self._web.server._close(sock)
+        self._lingering.tick(now)
 
     def untrack(self, sock: socket.socket) -> None:
         """Stops tracking a request whose response has been completed."""
@@ -256,6 +258,7 @@
 
         A caller that was answered counts as idle before its response is written.
         """
+        yield from self._lingering
         parsed, buffers = self._web.http._clients, self._web.server._buffers
         for sock in self._idle:
             if sock not in parsed and not buffers.get(sock):
@@ -268,6 +271,7 @@
     def _on_read(self, event: Event, sock: socket.socket, data: bytes) -> None:
         if sock in self._refused or sock not in self._web.server._clients:
             event.stop()
+            self._lingering.record_data(sock, len(data), time.monotonic())
             return
         self._idle.pop(sock, None)
         received = self._received_bytes.get(sock, 0) + len(data)
@@ -326,11 +330,7 @@
         self._count("refused.malformed_request")
         status = event.code if event.code and event.code < 500 else 400
         exc = RefusedError(Reason.MALFORMED_REQUEST, "The request is not valid HTTP.")
-        res.status = status
-        res.close = True
-        res.headers["Content-Type"] = "application/json"
-        res.body = json.dumps(error_body(exc, "")).encode()
-        self.fire(response(res), _CHANNEL)
+        self._refuse_raw(req.sock, exc, status)
 
     @handler("exception", channel="*", priority=10)
     def _on_exception(self, event: Event, *_args: Any, fevent: Event, **_kwargs: Any) -> None:
@@ -347,6 +347,7 @@
         self._buffered_bytes.pop(sock, None)
         self._idle.pop(sock, None)
         self._refused.discard(sock)
+        self._lingering.discard(sock)
         # circuits.web keeps the parser of an incomplete request otherwise.
         self._web.http._buffers.pop(sock, None)
         responder = self._open_responders.pop(sock, None)
@@ -364,9 +365,9 @@
             Reason.BODY_TOO_LARGE, f"The body exceeds {self._max_body_bytes} bytes."
         )
 
-    def _refuse_raw(self, sock: socket.socket, exc: RefusedError) -> None:
+    def _refuse_raw(self, sock: socket.socket, exc: RefusedError, status: int = 0) -> None:
         body = json.dumps(error_body(exc, "")).encode()
-        status = refusal(exc.reason).status
+        status = status or refusal(exc.reason).status
         retry_after = f"Retry-After: {_RETRY_AFTER_S}\r\n" if status == 503 else ""
         head = (
             f"HTTP/1.1 {status} {HTTPStatus(status).phrase}\r\nContent-Type: application/json\r\n"
@@ -375,9 +376,23 @@
         self._refused.add(sock)
         self._web.http._buffers.pop(sock, None)
         self._web.http._clients.pop(sock, None)
-        self._account.release("requests", self._reserved_bytes.pop(sock, 0))
-        self._web.server.write(sock, head.encode() + body)
-        self.fire(close(sock), _CHANNEL)
+        self._clear_request_limits(sock)
+        self._end_with(sock, head.encode() + body)
+
+    def _end_with(self, sock: socket.socket, data: bytes) -> None:
+        """Sends the last bytes, then discards what the caller still sends before the close."""
+        server = self._web.server
+        try:
+            is_sent = not server._buffers.get(sock) and sock.send(data) == len(data)
+            if is_sent:
+                sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            server._close(sock)
+            return
+        if is_sent:
+            self._lingering.add(sock, time.monotonic())
+        else:
+            server._close(sock)
 
 
 def error_body(exc: RefusedError, request_id: str) -> dict[str, Any]:
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -10,6 +10,7 @@
 
 from fescuechute.net import Loop, SystemClock
 from fescuechute.web import CallerServer
+from tests.net.slow_caller import send_slowly
 
 MAX_BODY = 4096
 
@@ -149,3 +150,17 @@
     print(f"another caller waited {elapsed_s:.2f} s for 200,000 pieces")
     assert (status, "callers.not_reading" in server.counters) == (200, True)
     assert elapsed_s < 5.0
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 3000000\r\n\r\n", b"413"),
+        (b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: abc\r\n\r\n", b"400"),
+        (b"NONSENSE\r\nContent-Length: 3000000\r\n\r\n", b"400"),
+    ],
+)
+def test_early_refusal_reaches_a_caller_that_still_writes(server, head, status):
+    """Guards against a refusal that is lost to a reset while the caller sends the rest of its body."""
+    received = send_slowly(server.web.port, head, b"x" * 100_000, parts=30, pause_s=0.08)
+    assert received.startswith(b"HTTP/1.1 " + status)
