Date declarations only by an earlier response that lacks them

Cause: a feed took the arrival of a response, less 0.15 s, for a time before which its records were not appended, if the call had taken longer than 0.15 s. A link that is filled by copies of a large configuration holds back even a small response for longer, so the call had not waited and the date was later than the declaration. Relays pass such a date on, and the latest date wins. Change: the date is the start of the last call whose response lacked the record, or that of the source; DatedBy is logged with each declaration. The estimate by arrival, its detection of suspensions and RecordBatch.prompt go.

--- a/fescuechute/feeds/__init__.py
+++ b/fescuechute/feeds/__init__.py
@@ -3,7 +3,7 @@
 A feed does no I/O itself: `Feed.tick` starts the call that is due through a `KeyedLog`.
 """
 
-from fescuechute.feeds._feed import Feed, FeedSettings
+from fescuechute.feeds._feed import DatedBy, Feed, FeedSettings
 from fescuechute.feeds._outcomes import (
     Delivery,
     Failure,
@@ -16,6 +16,7 @@
 )
 
 __all__ = [
+    "DatedBy",
     "Delivery",
     "Failure",
     "Feed",
--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -9,7 +10,6 @@
 import attrs
 
 from fescuechute.feeds._outcomes import (
-    STORE_SOURCE,
     Delivery,
     Failure,
     KeyedLog,
@@ -25,12 +25,15 @@
 #: Upper limit on the delay after any failed call, in seconds. It keeps the time from the end of an
 #: outage to the next read well below the 2 s in which a configuration must be in force.
 BACKOFF_CAP_S = 0.5
-#: Upper bound in seconds on the time from an append until a waiting call returns the record,
-#: without faults: the store responds within a few ms, and a round trip between regions takes 4 ms.
-MAX_DELIVERY_S = 0.15
-#: Seconds between two ticks from which on the process counts as having been suspended. Its loop
-#: ticks at least 20 times a second.
-SUSPENSION_GAP_S = 0.25
+
+
+class DatedBy(enum.StrEnum):
+    """What the time after which records were appended rests on."""
+
+    #: The start of an earlier call whose response did not include them.
+    CONFIRMATION = "confirmation"
+    #: The source of the response, a relay.
+    SOURCE = "source"
 
 
 @attrs.frozen
@@ -95,13 +98,12 @@
         self._snapshot_keys: set[str] = set()
         #: Unix seconds at which the latest call was started.
         self._call_started_at = 0.0
-        self._last_tick_at = 0.0
-        #: Unix seconds at which a suspension of the process was last detected.
-        self._suspension_detected_at = float("-inf")
         #: Unix seconds up to which every acknowledged record is known; None before a snapshot.
         self.confirmed_at: float | None = None
         #: Unix seconds after which the records being handled were appended; None if unknown.
         self.earliest_appended_at: float | None = None
+        #: What that time rests on.
+        self.dated_by = DatedBy.CONFIRMATION
         #: Unix seconds after which older records of the keys being handled may have been appended that
         #: the log left out; infinity if it left out none, None if unknown.
         self.earliest_omitted_at: float | None = None
@@ -135,9 +137,6 @@
 
     def tick(self, now: float) -> None:
         """Starts the call that is due."""
-        if self._was_suspended(now):
-            self._suspension_detected_at = now
-        self._last_tick_at = now
         if self._in_flight or now < self._next_call_at:
             return
         self._in_flight = True
@@ -178,11 +177,7 @@
         self.earliest_omitted_at = self.confirmed_at
         dates = outcome.appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            self.earliest_appended_at = (
-                self.confirmed_at
-                if appended_after_s is None
-                else self._call_started_at + appended_after_s
-            )
+            self._date(appended_after_s, self.confirmed_at, DatedBy.CONFIRMATION)
             self._snapshot_keys.add(record.key)
             self._on_record(record)
         if outcome.has_more and outcome.records:
@@ -197,16 +192,13 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         appended_at = self.earliest_appended_at = self._appended_after(outcome)
+        dated_by = self.dated_by
         self.earliest_omitted_at = self.confirmed_at if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
         dates = outcome.record_appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            self.earliest_appended_at = (
-                appended_at
-                if appended_after_s is None
-                else self._call_started_at + appended_after_s
-            )
+            self._date(appended_after_s, appended_at, dated_by)
             self._on_record(record)
             self._next_offset = record.offset + 1
         if outcome.compacted and self._next_offset is not None:
@@ -214,6 +206,16 @@
         if self._next_offset is not None and self._next_offset >= outcome.end:
             self._confirm(self._call_started_at + outcome.confirmed_after_s)
 
+    def _date(
+        self, appended_after_s: float | None, default: float | None, dated_by: DatedBy
+    ) -> None:
+        """Dates the next record by its source, or by a default without a date of the source."""
+        if appended_after_s is None:
+            self.earliest_appended_at, self.dated_by = default, dated_by
+        else:
+            self.earliest_appended_at = self._call_started_at + appended_after_s
+            self.dated_by = DatedBy.SOURCE
+
     def _note_failure(self, outcome: SnapshotPage | RecordBatch) -> None:
         if outcome.failed_after_s is not None:
             failed_at = self._call_started_at + outcome.failed_after_s
@@ -226,23 +228,14 @@
     def _appended_after(self, outcome: RecordBatch) -> float | None:
         """Returns the unix seconds after which the records of a response were appended.
 
-        A waiting call returns within MAX_DELIVERY_S of an append, unless the store was unavailable
-        or this process was suspended in the meantime. In those cases, and if the call did not
-        wait, only `confirmed_at` is a safe bound.
+        Only an earlier response that lacks them is a proof. The arrival of a response to a waiting call
+        is none: a link may hold a response back behind large ones for longer than the call could wait.
         """
-        if outcome.appended_after_s is not None:
-            return self._call_started_at + outcome.appended_after_s
-        if outcome.delivery.source != STORE_SOURCE or not outcome.prompt:
-            return self.confirmed_at
-        now = self._now()
-        suspended = self._was_suspended(now) or self._suspension_detected_at > self._call_started_at
-        if self.confirmed_at is None or self._consecutive_failures or suspended:
+        if outcome.appended_after_s is None:
+            self.dated_by = DatedBy.CONFIRMATION
             return self.confirmed_at
-        waited = now - self._call_started_at > MAX_DELIVERY_S
-        return now - MAX_DELIVERY_S if waited else self.confirmed_at
-
-    def _was_suspended(self, now: float) -> bool:
-        return now - self._last_tick_at >= SUSPENSION_GAP_S
+        self.dated_by = DatedBy.SOURCE
+        return self._call_started_at + outcome.appended_after_s
 
     @_handle.register
     def _(self, _outcome: Trimmed) -> None:
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -64,10 +64,8 @@
     #: Seconds from the start of the call to the time up to which all records are known; negative if
     #: that time is earlier, as it is in a response of a relay.
     confirmed_after_s: float = 0.0
-    #: The same for the time after which all records were appended; None to infer it from the call.
+    #: The same for the time after which all records were appended; None if the source does not know it.
     appended_after_s: float | None = None
-    #: Whether the call waited at the log all the time, so that records came as soon as they were there.
-    prompt: bool = True
     #: The same as `confirmed_after_s` for the last failure of the log that the source has seen.
     failed_after_s: float | None = None
     #: For each record what `appended_after_s` says of all of them; empty in a response of the store.
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -6,7 +6,7 @@
 
 from fescuechute.catalog import Configuration, Evacuation, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
-from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.feeds import DatedBy, FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
     ClientRequest,
     ClientServer,
@@ -520,6 +520,8 @@
                 version=item.version,
                 offset=offset,
                 binding_in_ms=round(binding_in_s * 1000),
+                dated_by=self.operator_feed.dated_by,
+                source=self.operator_feed.delivery.source,
                 # Not declared as far as known, but possibly superseded by this version.
                 implied_by=None if item.version == declared.version else declared.version,
             )
@@ -537,6 +539,7 @@
                 model=declared.model,
                 version=declared.version,
                 binding_in_ms=round((binding_at - self.clock.now()) * 1000),
+                dated_by=DatedBy.SOURCE,
             )
 
     def _on_registration(self, record: KeyedRecord) -> None:
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -9,7 +9,7 @@
 import attrs
 
 from fescuechute.errors import WireError
-from fescuechute.feeds import Failure, KeyedLog, Outcome, RecordBatch, SnapshotPage
+from fescuechute.feeds import Failure, KeyedLog, Outcome, SnapshotPage
 from fescuechute.net import HttpClient, HttpResult
 from fescuechute.relay._codec import decode_batch
 from fescuechute.relay._sources import STORE, RelayAddress, SourceSelector
@@ -44,8 +44,6 @@
     wait_s: float
     on_end: Callable[[Outcome], None]
     sources: list[RelayAddress]
-    #: Whether another source was tried before.
-    failed_over: bool = False
 
 
 class RelayedLog:
@@ -144,8 +142,6 @@
             else:
                 self._store_responded_at = self._now()
                 self._failing.discard(STORE)
-                if isinstance(outcome, RecordBatch) and call.failed_over:
-                    outcome = attrs.evolve(outcome, prompt=False)
                 call.on_end(outcome)
 
         if call.offset is None:
@@ -182,7 +178,7 @@
         if source not in self._failing:
             self._failing.add(source)
             self._on_source_failed(source.process_id, failure.reason)
-        call.wait_s, call.failed_over = 0.0, True
+        call.wait_s = 0.0
         if call.sources:
             self._try_next(call)
         else:
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fescuechute.feeds import (
+    DatedBy,
     Delivery,
     Failure,
     Feed,
@@ -134,14 +135,16 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "meanwhile", "since"),
+    ("name", "meanwhile", "transfer_s"),
     [
-        ("a waiting call returns at once", keep_ticking, 104.0 - 0.15),
-        ("a suspended process reads late", suspend_process, 100.0),
+        ("a waiting call returns", keep_ticking, 0.0),
+        ("the response took long", keep_ticking, 3.5),
+        ("a link held the response back", keep_ticking, 0.01),
+        ("a suspended process reads late", suspend_process, 0.0),
     ],
 )
-def test_append_time_of_records_returned_by_a_waiting_call(name, meanwhile, since):
-    """Guards against deadlines that start seconds too early, or too late after a suspension."""
+def test_append_time_does_not_depend_on_the_arrival_of_the_response(name, meanwhile, transfer_s):
+    """Guards against bounds of versions that start late because a response was held up on its way."""
     harness = FeedHarness()
     bounds = []
     harness.feed = Feed(
@@ -158,8 +161,9 @@
     meanwhile(harness)
     _call, on_end = harness.log.calls.pop()
     harness.now = 104.0
-    on_end(RecordBatch((make_record(5),), 6))
-    assert bounds == [pytest.approx(since)], name
+    on_end(RecordBatch((make_record(5),), 6, Delivery(transfer_s=transfer_s)))
+    assert bounds == [100.0], name
+    assert harness.feed.dated_by is DatedBy.CONFIRMATION
 
 
 @pytest.mark.parametrize(
@@ -242,7 +246,7 @@
     """Guards against declarations that count as younger because their call waited at another source."""
     harness = FeedHarness()
     harness.complete_call(SnapshotPage((), False, 5))
-    harness.complete_call(RecordBatch((make_record(5),), 6, prompt=False), after_s=0.9)
+    harness.complete_call(RecordBatch((make_record(5),), 6), after_s=0.9)
     assert harness.feed.earliest_appended_at == pytest.approx(100.0)
 
 
--- a/tests/relay/test_relayed_log.py
+++ b/tests/relay/test_relayed_log.py
@@ -75,7 +75,7 @@
     assert call == ("read", 5, 0.0)
     on_end(empty_batch(5))
     # The records may be as old as the call, which the feed must not take for a prompt response.
-    assert follower.outcomes == [RecordBatch((), 5, prompt=False)]
+    assert follower.outcomes == [RecordBatch((), 5)]
 
 
 def test_failure_of_every_source_is_reported_once():
