Predict no places for an engine profile without usual sizes, and refuse a pace of zero

What callers would see: a request for an engine at which all places are taken ends without an answer, as its handler fails with a ZeroDivisionError. Cause: the prediction of free places divides by the mean service time, which is zero if a service does not tell `usual` prompts and answers, and by the pace of an engine, which a report may give as zero. Change: a profile without sizes predicts no places, so such a request is refused or sent by the learned rate; a report with a pace that is not positive is malformed.

--- a/fescuechute/gateway/_choice.py
+++ b/fescuechute/gateway/_choice.py
@@ -143,12 +143,14 @@
         if engine is None:
             return 0.0
         evaluation = self._evaluation(requirements, now)
+        service_time_s = mean_service_time_s(engine)
         shares = sum(
             1 / (row.relative_step_time * (1 + row.other_gateway_count))
             for row in self._subset(requirements).near
             if evaluation.is_able(row)
         )
-        share_per_s = shares * engine.slots / mean_service_time_s(engine)
+        # A profile without mean token counts predicts nothing.
+        share_per_s = shares * engine.slots / service_time_s if service_time_s > 0 else 0.0
         sends_per_s = self._send_rates[requirements.service.name].per_s(now) if shares else 0.0
         return max(share_per_s, sends_per_s)
 
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -280,7 +280,7 @@
         running=_integer(body.get("active", 0)),
         kv_used_tokens=_integer(body.get("kv_used", 0)),
         kv_total_tokens=_integer(body.get("kv_total", 0)),
-        relative_step_time=_number(body.get("pace", 1.0)),
+        relative_step_time=_positive(body.get("pace", 1.0)),
         born_ms=_integer(body.get("born", 0)),
     )
 
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -418,6 +418,15 @@
     assert harness.chooser.places_per_s(excluded, 0.0) == 0.0
 
 
+def test_profile_without_mean_token_counts_predicts_no_places():
+    """Guards against requests that end without an answer where a profile does not tell the usual sizes."""
+    harness = ChooserHarness(a=1)
+    profile = attrs.evolve(PROFILE, mean_prompt_tokens=0, mean_output_tokens=0)
+    service = attrs.evolve(ENGINES, engine=profile)
+    requirements = Requirements(service, "m", 800, 1, frozenset())
+    assert harness.chooser.places_per_s(requirements, 0.0) == 0.0
+
+
 def three_data_centres() -> ChooserHarness:
     """Returns a harness with an idle engine in each data centre, named after it."""
     harness = ChooserHarness()
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -135,6 +135,7 @@
     [
         ("deeply nested", DEEP),
         ("pace of 400 digits", changed(REPORT, pace=HUGE)),
+        ("pace of zero", to_json({**REPORT, "pace": 0})),
         ("pace that is infinite", to_json({**REPORT, "pace": RAW}, b"1e400")),
         ("queue over 64 bits", changed(REPORT, queued=1 << 64)),
         ("born over 64 bits", changed(REPORT, born=1 << 64)),
