Read the era of the store from its answers, and share it in a process

Callers would see what the store lost: no module knew the header that tells of a return from a copy, so readers went on from offsets that were given out again. HttpResult now has the header fields of the response, however the call ended. The client of the store reads the era from each answer, errors included, reports it to the EraWatch of the process and sets it on outcomes and records; a malformed one fails the call.

Evidence: fescuechute/ did not contain the name of the header before.

--- a/fescuechute/feeds/__init__.py
+++ b/fescuechute/feeds/__init__.py
@@ -3,8 +3,10 @@
 A feed does no I/O itself: `Feed.tick` starts the call that is due through a `KeyedLog`.
 """
 
+from fescuechute.feeds._era import KEPT_S, MAX_ERA, EraWatch, Position
 from fescuechute.feeds._feed import Feed, FeedSettings
 from fescuechute.feeds._outcomes import (
+    STORE_SOURCE,
     Delivery,
     Failure,
     KeyedLog,
@@ -16,13 +18,18 @@
 )
 
 __all__ = [
+    "KEPT_S",
+    "MAX_ERA",
+    "STORE_SOURCE",
     "Delivery",
+    "EraWatch",
     "Failure",
     "Feed",
     "FeedSettings",
     "KeyedLog",
     "KeyedRecord",
     "Outcome",
+    "Position",
     "RecordBatch",
     "SnapshotPage",
     "Trimmed",
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from fescuechute.feeds._era import Position
+
 #: Source of a response of the store.
 STORE_SOURCE = "store"
 
@@ -19,6 +21,13 @@
     key: str
     #: None if the record deletes its key.
     value: bytes | None
+    #: Era of the store in which the record has this offset.
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Era and offset."""
+        return Position(self.era, self.offset)
 
 
 @attrs.frozen
@@ -51,6 +60,8 @@
     #: For each record the same for the time after which it was appended, None if unknown; empty in a
     #: response of the store.
     appended_after_s: tuple[float | None, ...] = ()
+    #: Era of the store as of the response; records of older eras were kept by a relay.
+    era: int = 0
 
 
 @attrs.frozen
@@ -74,11 +85,16 @@
     record_appended_after_s: tuple[float | None, ...] = ()
     #: Whether records without effect are left out, so that the next read starts at `end`.
     compacted: bool = False
+    #: Era of the store as of the response.
+    era: int = 0
 
 
 @attrs.frozen
 class Trimmed:
-    """The records at the requested offset have been deleted from the log."""
+    """The records at the requested offset have been deleted from the log, or it does not have them yet."""
+
+    #: Era of the store as of the response.
+    era: int = 0
 
 
 @attrs.frozen
@@ -86,6 +102,8 @@
     """The call failed, or its response was invalid."""
 
     reason: str
+    #: Era of the store as of the response; None without a response of it.
+    era: int | None = None
 
 
 Outcome = SnapshotPage | RecordBatch | Trimmed | Failure
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -50,6 +50,8 @@
     silent: bool = False
     #: Seconds from the first received byte to the end of the call.
     transfer_s: float = 0.0
+    #: Header fields of the response with names in lower case; empty if no response head arrived.
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
     @property
     def ok(self) -> bool:
@@ -91,6 +93,7 @@
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytearray = attrs.field(factory=bytearray)
     body_parts: BodyParts = attrs.field(factory=BodyParts)
     #: Limit on a collected body in bytes.
@@ -275,6 +278,7 @@
                     return
                 if isinstance(event, h11.Response):
                     call.status = event.status_code
+                    call.headers = tuple(event.headers)
                 elif isinstance(event, h11.InformationalResponse):
                     call.informational_responses += 1
                     if call.informational_responses > _MAX_INFORMATIONAL_RESPONSES:
@@ -320,7 +324,16 @@
         else:
             conn.close()
         transfer_s = 0.0 if call.first_byte_at is None else self._clock.now() - call.first_byte_at
-        call.on_end(HttpResult(call.status, bytes(call.body), "", True, transfer_s=transfer_s))
+        call.on_end(
+            HttpResult(
+                call.status,
+                bytes(call.body),
+                "",
+                True,
+                transfer_s=transfer_s,
+                headers=call.headers,
+            )
+        )
 
     def _on_closed(self, call: HttpCall, reason: str) -> None:
         if call.done:
@@ -341,4 +354,8 @@
         if call.conn is not None:
             call.conn.close()
         silent = reason == _REASON_SILENT
-        call.on_end(HttpResult(call.status, bytes(call.body), reason, call.sent, silent))
+        call.on_end(
+            HttpResult(
+                call.status, bytes(call.body), reason, call.sent, silent, headers=call.headers
+            )
+        )
--- a/fescuechute/platform/_names.py
+++ b/fescuechute/platform/_names.py
@@ -20,6 +20,8 @@
 SEAL = b"x-fescuechute-response-seal"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+#: In all answers of the store: rises by one each time that it comes back from a copy.
+STORE_ERA = b"store-era"
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 #: Authentication scheme of the `Authorization` field, in lower case.
--- a/fescuechute/platform/_store.py
+++ b/fescuechute/platform/_store.py
@@ -12,6 +12,7 @@
 
 from fescuechute.checks import Address
 from fescuechute.feeds import (
+    MAX_ERA,
     Delivery,
     Failure,
     KeyedRecord,
@@ -35,6 +36,7 @@
 #: Handling of bytes of a key that are not UTF-8: each becomes a surrogate, so that a key of any form
 #: can be compared and passed on. No id of a replica has surrogates.
 _KEY_ERRORS = "surrogateescape"
+_MAX_ERA_DIGITS = len(str(MAX_ERA))
 
 
 class Topic(enum.StrEnum):
@@ -45,11 +47,23 @@
 
 
 class StoreClient:
-    """Client of the store. Each call invokes its callback once, with the result or a `Failure`."""
+    """Client of the store. Each call invokes its callback once, with the result or a `Failure`.
 
-    def __init__(self, http: HttpClient, address: Address):
+    Args:
+      http: Client for calls.
+      address: Address of the store.
+      on_era: Called with the era of each answer, errors included, before the callback of the call.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        address: Address,
+        on_era: Callable[[int], None] = lambda _era: None,
+    ):
         self._http = http
         self._server = (address.ip, address.port)
+        self._on_era = on_era
 
     def set_address(self, address: Address) -> None:
         """Changes the address for later calls."""
@@ -59,7 +73,8 @@
         """Fetches a page of the newest record of each key, in key order, starting after `after`."""
         self._get(
             snapshot_path(topic, after),
-            lambda result: on_end(_snapshot_outcome(result)),
+            lambda result, era: on_end(_snapshot_outcome(result, era)),
+            on_end,
             idle_timeout_s=_SNAPSHOT_IDLE_TIMEOUT_S,
         )
 
@@ -80,7 +95,8 @@
         )
         self._get(
             path,
-            lambda result: on_end(_read_outcome(result, offset)),
+            lambda result, era: on_end(_read_outcome(result, offset, era)),
+            on_end,
             on_progress,
             idle_timeout_s=wait_s + _IDLE_TIMEOUT_S,
         )
@@ -88,16 +104,29 @@
     def _get(
         self,
         path: str,
-        on_end: Callable[[HttpResult], None],
+        on_answer: Callable[[HttpResult, int], None],
+        on_end: Callable[[Outcome], None],
         on_progress: Callable[[], None] | None = None,
         *,
         idle_timeout_s: float,
     ) -> None:
+        def on_result(result: HttpResult) -> None:
+            if not result.status:
+                on_end(_failure(result, None))
+                return
+            try:
+                era = _era(result)
+            except ValueError as exc:
+                on_end(Failure(str(exc)))
+                return
+            self._on_era(era)
+            on_answer(result, era)
+
         self._http.call(
             "GET",
             self._server,
             path,
-            on_end,
+            on_result,
             on_progress=on_progress,
             idle_timeout_s=idle_timeout_s,
         )
@@ -109,36 +138,52 @@
     return f"{path}&after={quote(after, safe='', errors=_KEY_ERRORS)}" if after else path
 
 
-def _snapshot_outcome(result: HttpResult) -> Outcome:
+def _era(result: HttpResult) -> int:
+    """Returns the era of the store as of an answer, 0 if the answer names none.
+
+    Raises:
+      ValueError: The header field is malformed.
+    """
+    values = {value for name, value in result.headers if name == names.STORE_ERA}
+    if not values:
+        return 0
+    # Longer numbers exceed the limit; very long ones cannot be converted.
+    text = values.pop()
+    if values or not text.isdigit() or len(text) > _MAX_ERA_DIGITS or int(text) > MAX_ERA:
+        raise ValueError(f"malformed era of the store: {text!r:.80} is no whole number in range")
+    return int(text)
+
+
+def _snapshot_outcome(result: HttpResult, era: int) -> Outcome:
     if not result.ok:
-        return _failure(result)
-    return decode_snapshot(result.json(), _delivery(result))
+        return _failure(result, era)
+    return decode_snapshot(result.json(), _delivery(result), era)
 
 
-def decode_snapshot(body: Any, delivery: Delivery) -> SnapshotPage | Failure:
-    """Decodes a page of a snapshot from parsed JSON."""
+def decode_snapshot(body: Any, delivery: Delivery, era: int = 0) -> SnapshotPage | Failure:
+    """Decodes a page of a snapshot from parsed JSON, as of an era of the store."""
     try:
         records = tuple(
-            KeyedRecord(item["offset"], _key(item["key"]), base64.b64decode(item["value"]))
+            KeyedRecord(item["offset"], _key(item["key"]), base64.b64decode(item["value"]), era)
             for item in body["items"]
         )
-        return SnapshotPage(records, bool(body["has_more"]), int(body["end"]), delivery)
+        return SnapshotPage(records, bool(body["has_more"]), int(body["end"]), delivery, era=era)
     except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as exc:
-        return Failure(f"malformed page: {type(exc).__name__}: {exc}")
+        return Failure(f"malformed page: {type(exc).__name__}: {exc}", era)
 
 
-def _read_outcome(result: HttpResult, offset: int) -> Outcome:
+def _read_outcome(result: HttpResult, offset: int, era: int) -> Outcome:
     if result.status == 410 and not result.error:
-        return Trimmed()
+        return Trimmed(era)
     if not result.ok:
-        return _failure(result)
+        return _failure(result, era)
     try:
-        return _parse_batch(result.body, offset, _delivery(result))
+        return _parse_batch(result.body, offset, _delivery(result), era)
     except (struct.error, IndexError) as exc:
-        return Failure(f"malformed records: {type(exc).__name__}: {exc}")
+        return Failure(f"malformed records: {type(exc).__name__}: {exc}", era)
 
 
-def _parse_batch(body: bytes, offset: int, delivery: Delivery) -> RecordBatch:
+def _parse_batch(body: bytes, offset: int, delivery: Delivery, era: int) -> RecordBatch:
     end, _first_retained = _READ_HEADER.unpack_from(body)
     records: list[KeyedRecord] = []
     position = _READ_HEADER.size
@@ -149,9 +194,9 @@
         key = body[position + 1 : key_end].decode(errors=_KEY_ERRORS)
         value = body[key_end : position + length]
         # An empty value is a tombstone: it deletes the key.
-        records.append(KeyedRecord(offset + len(records), key, value or None))
+        records.append(KeyedRecord(offset + len(records), key, value or None, era))
         position += length
-    return RecordBatch(tuple(records), end, delivery)
+    return RecordBatch(tuple(records), end, delivery, era=era)
 
 
 def _key(value: str) -> str:
@@ -162,5 +207,5 @@
     return Delivery(size=len(result.body), transfer_s=result.transfer_s)
 
 
-def _failure(result: HttpResult) -> Failure:
-    return Failure(result.error or f"status {result.status}")
+def _failure(result: HttpResult, era: int | None) -> Failure:
+    return Failure(result.error or f"status {result.status}", era)
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -15,7 +15,7 @@
 from circuits import BaseComponent, handler
 
 from fescuechute.errors import PlatformError, SettingsError
-from fescuechute.feeds import Feed, FeedSettings, KeyedLog, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, EraWatch, Feed, FeedSettings, KeyedLog, KeyedRecord
 from fescuechute.forwarding import ClientRequest, ClientServer, MemoryAccount
 from fescuechute.net import DatagramSocket, HttpClient, Loop, SystemClock
 from fescuechute.platform import StoreClient, load_node_settings
@@ -94,7 +94,13 @@
         for owner in (self.http, self.datagrams, self.metrics):
             self.loop.add(owner)
         _ExceptionReporter(self._log_exception).register(self.loop)
-        self.store = StoreClient(self.http, self.settings.store.address)
+        #: The newest era of the store that any reader of this process has seen.
+        self.eras = EraWatch()
+        self.store = StoreClient(
+            self.http,
+            self.settings.store.address,
+            self._on_store_era,
+        )
         self.relays = RelayDirectory()
         cfg = self.settings
         self.source_selector = SourceSelector(
@@ -258,6 +264,9 @@
             self.store.set_address(settings.store.address)
             self.on_settings()
 
+    def _on_store_era(self, era: int) -> None:
+        self.eras.observe(era, self.clock.now(), STORE_SOURCE)
+
     def _on_source_failed(self, source: str, reason: str) -> None:
         self.telemetry.event("source.failed", source=source, reason=reason)
 
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -128,3 +128,26 @@
         conn.close()
         result = results.get(timeout=TIMEOUT_S)
         assert result.error and not result.ok
+
+
+@pytest.mark.parametrize(
+    ("response", "ok"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Era: 3\r\nContent-Length: 0\r\n\r\n", True),
+        (b"HTTP/1.1 503 E\r\nX-Era: 3\r\nContent-Length: 0\r\n\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nX-Era: 3\r\nContent-Length: 9\r\n\r\ncut", False),
+    ],
+)
+def test_result_has_the_header_fields_however_the_call_ends(response, ok):
+    """Guards against fields that are lost with the body that follows them."""
+    upstream, results = RawUpstream(), queue.Queue()
+    with running_loop(HttpClient) as (loop, client):
+        server = ("127.0.0.1", upstream.port)
+        loop.call_at(0.0, lambda: client.call("GET", server, "/", results.put))
+        conn = upstream.accept()
+        read_until(conn, b"\r\n\r\n")
+        conn.sendall(response)
+        conn.close()
+        result = results.get(timeout=TIMEOUT_S)
+    assert result.ok is ok
+    assert (b"x-era", b"3") in result.headers
