--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -4,10 +4,11 @@
 
 import random
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 import attrs
 
+from fescuechute.feeds._era import EraWatch
 from fescuechute.feeds._outcomes import (
     STORE_SOURCE,
     Delivery,
@@ -31,6 +32,12 @@
 #: Seconds between two ticks from which on the process counts as having been suspended. Its loop
 #: ticks at least 20 times a second.
 SUSPENSION_GAP_S = 0.25
+#: Seconds after a rise of the era for which a record that is seen first may be a second writing of one
+#: that the store has lost.
+DATE_SETTLING_S = 5.0
+#: Longest wait of a call in seconds after the settling time until the first confirmation. A relay whose
+#: settling time ends a little later confirms within a few calls.
+CONFIRM_WAIT_S = 0.1
 
 
 @attrs.frozen
@@ -43,6 +50,9 @@
     #: Shortest time from the start of one call to the next, in seconds; batches the records of a
     #: busy topic.
     min_interval_s: float = 0.0
+    #: Time in seconds after a rise of the era for which `Feed.confirmed_at` does not advance, so that
+    #: writers can repeat what the store has lost.
+    settle_s: float = 0.0
 
 
 class Feed:
@@ -52,6 +62,10 @@
     before the call started. `confirmed_at` is therefore set to the start of that call, not to the
     arrival of the response.
 
+    When the store comes back from a copy, its era rises and its offsets are given out again. The feed
+    then gives up the call in flight and reads a new snapshot. No response of an older era than the
+    newest that the process has seen is applied.
+
     Args:
       log: Log that holds the topic.
       settings: Topic and polling parameters.
@@ -63,6 +77,7 @@
       on_availability: Called with a reason when the log becomes unavailable, and with an empty
         string when it is available again.
       rng: Seeded random number generator for the backoff jitter.
+      eras: Newest era that the process has seen; a watch of its own by default.
     """
 
     def __init__(
@@ -74,6 +89,7 @@
         on_snapshot: Callable[[frozenset[str]], None],
         on_availability: Callable[[str], None],
         rng: random.Random,
+        eras: EraWatch | None = None,
     ):
         self._log = log
         self._settings = settings
@@ -82,6 +98,17 @@
         self._on_snapshot = on_snapshot
         self._on_availability = on_availability
         self._rng = rng
+        self._eras = EraWatch() if eras is None else eras
+        #: Era of the position, None before the first response.
+        self._era: int | None = None
+        #: Unix seconds up to which every record was known before the rise of the era, None if unknown.
+        self._confirmed_before_rise: float | None = None
+        #: Unix seconds until which `confirmed_at` does not advance, and until which records that are
+        #: seen first may have been written before the rise.
+        self._settled_at = float("-inf")
+        self._dated_from = float("-inf")
+        #: Whether `confirmed_at` is still the one from before the rise.
+        self._unconfirmed_in_era = False
         self._in_flight = False
         self._next_call_at = 0.0
         self._consecutive_failures = 0
@@ -96,6 +123,7 @@
         #: Unix seconds at which the latest call was started.
         self._call_started_at = 0.0
         self._last_tick_at = 0.0
+        self._has_read = False
         #: Unix seconds at which a suspension of the process was last detected.
         self._suspension_detected_at = float("-inf")
         #: Unix seconds up to which every acknowledged record is known; None before a snapshot.
@@ -111,12 +139,24 @@
         self.failed_at = float("-inf")
         #: Number of calls started.
         self.calls = 0
+        #: Number of the latest call whose outcome is ignored.
+        self._abandoned_calls = 0
 
     @property
     def complete(self) -> bool:
         """Whether a snapshot was read completely and reading continues from it."""
         return self._next_offset is not None
 
+    @property
+    def has_read(self) -> bool:
+        """Whether a snapshot was ever read completely, in whichever era."""
+        return self._has_read or self.complete
+
+    @property
+    def era(self) -> int:
+        """Era of the position, 0 before the first response."""
+        return self._era or 0
+
     @property
     def next_offset(self) -> int | None:
         """Offset after the last known record, or None before a snapshot is complete."""
@@ -128,6 +168,10 @@
             self._next_call_at = min(self._next_call_at, self._now() + min_interval_s)
         self._settings = attrs.evolve(self._settings, min_interval_s=min_interval_s)
 
+    def set_settling(self, settle_s: float) -> None:
+        """Changes the settling time from the next rise of the era on."""
+        self._settings = attrs.evolve(self._settings, settle_s=settle_s)
+
     @property
     def failing(self) -> bool:
         """Whether the last call failed."""
@@ -138,22 +182,67 @@
         if self._was_suspended(now):
             self._suspension_detected_at = now
         self._last_tick_at = now
+        self._follow_era(now)
         if self._in_flight or now < self._next_call_at:
             return
         self._in_flight = True
         self._call_started_at = now
         self._next_call_at = now + self._settings.min_interval_s
         self.calls += 1
+        is_first_page = self._next_offset is None and not self._last_page_key
+        on_end = partial(self._on_outcome, self.calls, is_first_page)
         if self._next_offset is None:
-            self._log.snapshot(self._settings.topic, self._last_page_key, self._on_outcome)
+            self._log.snapshot(self._settings.topic, self._last_page_key, on_end)
         else:
-            # After a failure the call must not wait, or a recovery of the store would go unnoticed
-            # for up to `wait_s`.
-            wait_s = 0.0 if self._consecutive_failures else self._settings.wait_s
-            self._log.read(self._settings.topic, self._next_offset, wait_s, self._on_outcome)
+            wait_s = self._call_wait_s(now)
+            self._log.read(self._settings.topic, self._next_offset, wait_s, on_end)
+
+    def _call_wait_s(self, now: float) -> float:
+        """Returns the seconds for which the next read waits for new records."""
+        # After a failure the call must not wait, or a recovery of the store would go unnoticed for up
+        # to `wait_s`.
+        if self._consecutive_failures:
+            return 0.0
+        if now < self._settled_at:
+            return min(self._settings.wait_s, self._settled_at - now)
+        if self._unconfirmed_in_era:
+            return min(self._settings.wait_s, CONFIRM_WAIT_S)
+        return self._settings.wait_s
 
-    def _on_outcome(self, outcome: Outcome) -> None:
+    def _follow_era(self, now: float) -> bool:
+        """Starts a new snapshot if the era has risen; returns whether it has."""
+        newest, risen_at = self._eras.newest, self._eras.risen_at
+        if newest is None or newest == self._era:
+            return False
+        is_rise = self._era is not None
+        self._era = newest
+        # What was confirmed between two rises that follow closely may be a second writing as well.
+        if risen_at >= self._dated_from:
+            self._confirmed_before_rise = self.confirmed_at
+        self._settled_at = risen_at + self._settings.settle_s
+        self._dated_from = risen_at + DATE_SETTLING_S
+        self.failed_at = max(self.failed_at, risen_at)
+        if not is_rise:
+            return False
+        self._unconfirmed_in_era = True
+        self._in_flight, self._abandoned_calls = False, self.calls
+        self._next_offset, self._last_page_key, self._snapshot_end = None, "", None
+        self._next_call_at = now
+        return True
+
+    def _on_outcome(self, call: int, is_first_page: bool, outcome: Outcome) -> None:
+        if call <= self._abandoned_calls:
+            return
         self._in_flight = False
+        if outcome.era is not None:
+            self._eras.observe(outcome.era, self._now(), _source(outcome))
+        has_risen = self._follow_era(self._now())
+        if not isinstance(outcome, Failure):
+            if self._eras.is_old(outcome.era):
+                reason = f"era {outcome.era} is older than the known era {self._eras.newest}"
+                outcome = Failure(reason, outcome.era)
+            elif has_risen and not (isinstance(outcome, SnapshotPage) and is_first_page):
+                return
         self._handle(outcome)
         if not isinstance(outcome, Failure) and self._consecutive_failures:
             self._consecutive_failures = 0
@@ -175,21 +264,21 @@
             self._snapshot_keys.clear()
         self._note_failure(outcome)
         self.delivery = outcome.delivery
-        self.earliest_omitted_at = self.confirmed_at
+        self.earliest_omitted_at = undated = self._undated_after()
         dates = outcome.appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            self.earliest_appended_at = (
-                self.confirmed_at
-                if appended_after_s is None
-                else self._call_started_at + appended_after_s
-            )
+            if appended_after_s is not None:
+                self.earliest_appended_at = self._call_started_at + appended_after_s
+            else:
+                # A record that a relay kept may be older than anything that was confirmed since.
+                self.earliest_appended_at = undated if record.era == outcome.era else None
             self._snapshot_keys.add(record.key)
             self._on_record(record)
         if outcome.has_more and outcome.records:
             self._last_page_key = outcome.records[-1].key
             self._next_call_at = self._now()
             return
-        self._next_offset = self._snapshot_end
+        self._next_offset, self._has_read = self._snapshot_end, True
         self._confirm(self._snapshot_confirmed_at)
         self._last_page_key, self._snapshot_end = "", None
         self._on_snapshot(frozenset(self._snapshot_keys))
@@ -197,7 +286,7 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         appended_at = self.earliest_appended_at = self._appended_after(outcome)
-        self.earliest_omitted_at = self.confirmed_at if outcome.compacted else float("inf")
+        self.earliest_omitted_at = self._undated_after() if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
         dates = outcome.record_appended_after_s or (None,) * len(outcome.records)
@@ -208,7 +297,8 @@
                 else self._call_started_at + appended_after_s
             )
             self._on_record(record)
-            self._next_offset = record.offset + 1
+            if record.era == outcome.era:
+                self._next_offset = record.offset + 1
         if outcome.compacted and self._next_offset is not None:
             self._next_offset = max(self._next_offset, outcome.end)
         if self._next_offset is not None and self._next_offset >= outcome.end:
@@ -220,21 +310,34 @@
             self.failed_at = max(self.failed_at, failed_at)
 
     def _confirm(self, confirmed_at: float) -> None:
+        # Writers may not have repeated yet what they wrote in the lost stretch.
+        if confirmed_at < self._settled_at:
+            return
+        self._unconfirmed_in_era = False
         # A relay may know less than an earlier response of another source.
         self.confirmed_at = max(confirmed_at, self.confirmed_at or confirmed_at)
 
+    def _undated_after(self) -> float | None:
+        """Returns the unix seconds after which records without a date were appended, None if unknown."""
+        if self._now() < self._dated_from:
+            return self._confirmed_before_rise
+        return self.confirmed_at
+
     def _appended_after(self, outcome: RecordBatch) -> float | None:
         """Returns the unix seconds after which the records of a response were appended.
 
         A waiting call returns within MAX_DELIVERY_S of an append, unless the store was unavailable
         or this process was suspended in the meantime. In those cases, and if the call did not
-        wait, only `confirmed_at` is a safe bound.
+        wait, only `confirmed_at` is a safe bound; soon after a rise of the era, only what was
+        confirmed before it.
         """
         if outcome.appended_after_s is not None:
             return self._call_started_at + outcome.appended_after_s
         if outcome.delivery.source != STORE_SOURCE or not outcome.prompt:
-            return self.confirmed_at
+            return self._undated_after()
         now = self._now()
+        if now < self._dated_from:
+            return self._confirmed_before_rise
         suspended = self._was_suspended(now) or self._suspension_detected_at > self._call_started_at
         if self.confirmed_at is None or self._consecutive_failures or suspended:
             return self.confirmed_at
@@ -260,3 +363,7 @@
         self._next_call_at = self._now() + max_delay_s * self._rng.uniform(0.5, 1.0)
         if self._consecutive_failures == 1:
             self._on_availability(outcome.reason)
+
+
+def _source(outcome: Outcome) -> str:
+    return outcome.delivery.source if isinstance(outcome, SnapshotPage | RecordBatch) else ""
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -73,6 +73,8 @@
 MAX_CHECK_CONNECTIONS = 64
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
+#: Share of the age that is allowed to keys for which a return of the store does not confirm them.
+SETTLING_SHARE = 0.4
 
 
 class GatewayDaemon(Process):
@@ -183,7 +185,11 @@
             self.datagrams.send,
         )
         self.operator_feed = self.make_feed(
-            FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
+            FeedSettings(
+                Topic.OPERATORS,
+                OPERATORS_LONG_POLL_S,
+                settle_s=_settle_s(cfg.service_levels.revoke_s),
+            ),
             self._on_operator_record,
             self._on_operator_snapshot,
             self.operator_log,
@@ -226,7 +232,7 @@
         """Whether the load balancer should send clients to this gateway."""
         informed = self._has_read_operators and self.access.table is not None
         informed = informed and self._has_known_replicas
-        return informed and self.registry_feed.complete and not self.stopping
+        return informed and self.registry_feed.has_read and not self.stopping
 
     # Callbacks of the process.
 
@@ -268,6 +274,7 @@
         service_levels = self.settings.service_levels
         self.access.max_configuration_age_s = service_levels.revoke_s
         self.versions.bound_s = service_levels.version_switch_s
+        self.operator_feed.set_settling(_settle_s(service_levels.revoke_s))
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
         """Records the relays of the region; passes on reports of crashes and of loads."""
@@ -598,3 +605,8 @@
     def _on_upstream_gone(self, instance: str, reason: str) -> None:
         self.upstream_client.close_idle(instance)
         self.telemetry.event("upstream.gone", upstream=instance, reason=reason)
+
+
+def _settle_s(revoke_s: float | None) -> float:
+    """Returns the settling time in seconds for an age that is allowed to keys, None for any age."""
+    return 0.0 if revoke_s is None else SETTLING_SHARE * revoke_s
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -187,6 +187,7 @@
             on_snapshot,
             on_state,
             self.rng,
+            self.eras,
         )
 
     def region_relays(self, now: float) -> list[RelayAddress]:
