Pass eras on between relays, and keep records that outrank the copy

Callers would get an older configuration after a return of the store: a relay answered from the offsets of the lost stretch, a follower took batches of two eras for one sequence, and records newer than the copy were forgotten. Batches and requests now name their era. An answer of an older era fails its source; a relay that is behind reads anew and refuses, one that is ahead answers without records, and waiting calls stay for at most 0.5 s until the relay has read anew, so that a region does not read from the store at once. The cache keeps what outranks the copy, and for a time what has no rank.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -36,6 +36,7 @@
     evacuated_data_centre,
     is_operator_record,
     is_version_declaration,
+    operator_record_rank,
 )
 from fescuechute.relay import (
     DateQuery,
@@ -164,7 +165,12 @@
         )
         self.operator_log.relaying = True
         self.relay_server = RelayServer(
-            Topic.OPERATORS, self.operator_log, now, count, self._superseded_ttl_s
+            Topic.OPERATORS,
+            self.operator_log,
+            now,
+            count,
+            self._superseded_ttl_s,
+            operator_record_rank,
         )
         self.registry_log.relaying = True
         self.registry_relay = RelayServer(Topic.REGISTRY, self.registry_log, now, count)
--- a/fescuechute/platform/__init__.py
+++ b/fescuechute/platform/__init__.py
@@ -15,6 +15,7 @@
     evacuated_data_centre,
     is_operator_record,
     is_version_declaration,
+    operator_record_rank,
 )
 from fescuechute.platform._requests import (
     decode_request,
@@ -51,6 +52,7 @@
     "is_response_to",
     "is_version_declaration",
     "load_node_settings",
+    "operator_record_rank",
     "parse_node_settings",
     "snapshot_path",
 ]
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -63,6 +63,21 @@
     return None if data_centre is None else Evacuation(data_centre)
 
 
+def operator_record_rank(key: str, value: bytes) -> int | None:
+    """Returns the version in a configuration or a declaration, which their writers never lower.
+
+    Returns:
+      The version; None for records of other kinds and for malformed ones.
+    """
+    if key != CONFIG_KEY and not is_version_declaration(key):
+        return None
+    try:
+        version: int = _decode(lambda body: _integer(body["version"]), key, value)
+    except PlatformError:
+        return None
+    return version
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decodes a configuration.
 
--- a/fescuechute/relay/_cache.py
+++ b/fescuechute/relay/_cache.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
+from typing import Any
+
 import attrs
 
-from fescuechute.feeds import KeyedRecord
+from fescuechute.feeds import KeyedRecord, Position
 
 #: Limit on the superseded records of one key, of which the newest are kept.
 MAX_SUPERSEDED = 16
@@ -17,6 +20,8 @@
     record: KeyedRecord
     #: Unix seconds after which the record was appended, or None if unknown.
     appended_after: float | None
+    #: Result of the function that ranks records.
+    rank: Any = None
 
 
 @attrs.frozen
@@ -29,20 +34,33 @@
 class RecordCache:
     """Keeps the newest record of each key, including the last deletions.
 
-    A superseded record is kept as well for as long as its effect outlasts it.
+    A superseded record is kept as well for as long as its effect outlasts it. After the store has come
+    back from a copy, records of the older era are kept that outrank those of the copy, and for a time
+    those without a rank. They have no offset in the new era.
+
+    Args:
+      rank: Returns the rank of a record from its key and its value, or None without one. Of two records
+        of a key the one of the higher rank holds, otherwise that of the later position. Without the
+        function, nothing is kept of an older era.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rank: Callable[[str, bytes], Any] | None = None) -> None:
+        self._rank = rank
         self._records: dict[str, CachedRecord] = {}
         #: Superseded records by key, in the order of their offsets.
         self._superseded: dict[str, list[_SupersededRecord]] = {}
-        #: Highest offset of the records, -1 without any.
+        self._era = 0
+        #: Highest offset of the records of the newest era, -1 without any.
         self.newest_offset = -1
+        #: Increases with each change.
+        self.generation = 0
 
     def add(
         self, record: KeyedRecord, appended_after: float | None, superseded_ttl_s: float = 0.0
     ) -> None:
-        """Adds a record unless a newer one of its key is known.
+        """Adds a record unless one of its key is known that holds against it.
+
+        The same content written again takes the later position and keeps the first known date.
 
         Args:
           record: The record.
@@ -50,11 +68,20 @@
           superseded_ttl_s: Seconds from that time for which the record that this one supersedes is
             kept. A deletion keeps none, nor does a record of unknown date.
         """
+        self._enter(record.era)
         known = self._records.get(record.key)
-        if known is not None and record.offset <= known.record.offset:
+        rank = None
+        if self._rank is not None and record.value is not None:
+            rank = self._rank(record.key, record.value)
+        if known is not None and not _holds(record, rank, known):
             return
-        self._records[record.key] = CachedRecord(record, appended_after)
-        self.newest_offset = max(self.newest_offset, record.offset)
+        self.generation += 1
+        if record.era == self._era:
+            self.newest_offset = max(self.newest_offset, record.offset)
+        if known is not None and _is_repeated(record, rank, known):
+            self._records[record.key] = CachedRecord(record, known.appended_after, rank)
+            return
+        self._records[record.key] = CachedRecord(record, appended_after, rank)
         superseded = self._superseded.pop(record.key, [])
         if known is None or record.value is None or appended_after is None or not superseded_ttl_s:
             return
@@ -62,36 +89,90 @@
             superseded.append(_SupersededRecord(known, appended_after + superseded_ttl_s))
             self._superseded[record.key] = superseded[-MAX_SUPERSEDED:]
 
-    def evict(self, now: float) -> None:
+    def evict(self, now: float, kept_until: float = float("inf")) -> None:
         """Removes the superseded records that have expired.
 
         Args:
           now: Unix seconds.
+          kept_until: Unix seconds from which records of an older era without a rank are removed as well.
         """
+        if now >= kept_until:
+            self._remove(
+                key
+                for key, known in self._records.items()
+                if known.rank is None and known.record.era < self._era
+            )
         for key, superseded in list(self._superseded.items()):
             kept = [item for item in superseded if now < item.expires_at]
+            self.generation += len(kept) < len(superseded)
             if kept:
                 self._superseded[key] = kept
             else:
                 del self._superseded[key]
 
-    def retain(self, keys: frozenset[str], end: int) -> None:
+    def retain(self, keys: frozenset[str], end: int, era: int = 0) -> list[str]:
         """Replaces the records of all other keys by deletions at the last offset before `end`.
 
         Records from `end` on are newer than the snapshot; a source may know less than the one before.
+
+        Args:
+          keys: Keys of the snapshot.
+          end: Offset after the last record of the topic as of the snapshot.
+          era: Era of the snapshot.
+
+        Returns:
+          The keys of the records of older eras that are kept.
         """
+        self._enter(era)
+        self.generation += 1
+        old = {key: known for key, known in self._records.items() if known.record.era < era}
+        dropped = [
+            key for key, known in old.items() if self._rank is None or known.record.value is None
+        ]
+        self._remove(dropped)
         for key, known in list(self._records.items()):
-            if known.record.offset >= end:
+            if known.record.era != era or known.record.offset >= end:
                 continue
             if key not in keys and known.record.value is not None:
-                self._records[key] = CachedRecord(KeyedRecord(end - 1, key, None), None)
+                self._records[key] = CachedRecord(KeyedRecord(end - 1, key, None, era), None)
                 self._superseded.pop(key, None)
                 self.newest_offset = max(self.newest_offset, end - 1)
+        return sorted(old.keys() - set(dropped))
 
     def since(self, offset: int) -> list[CachedRecord]:
-        """Returns the records from an offset on, in the order of their offsets."""
+        """Returns the records from an offset of the newest era on, in the order of their positions.
+
+        From offset 0 on, those that are kept of older eras are included.
+        """
         known = [*self._records.values()]
         for superseded in self._superseded.values():
             known += [item.cached for item in superseded]
-        found = [cached for cached in known if cached.record.offset >= offset]
-        return sorted(found, key=lambda cached: cached.record.offset)
+        start = Position(self._era if offset else 0, offset)
+        found = [cached for cached in known if cached.record.position >= start]
+        return sorted(found, key=lambda cached: cached.record.position)
+
+    def _enter(self, era: int) -> None:
+        if era > self._era:
+            self._era, self.newest_offset = era, -1
+
+    def _remove(self, keys: Iterable[str]) -> None:
+        for key in list(keys):
+            del self._records[key]
+            self._superseded.pop(key, None)
+            self.generation += 1
+
+
+def _holds(record: KeyedRecord, rank: Any, known: CachedRecord) -> bool:
+    """Returns whether a record holds against the known one of its key."""
+    if rank is not None and known.rank is not None and rank != known.rank:
+        return bool(rank > known.rank)
+    if record.value is None and known.rank is not None and record.era > known.record.era:
+        # The copy lacks what was in force until it is written again.
+        return False
+    return record.position > known.record.position
+
+
+def _is_repeated(record: KeyedRecord, rank: Any, known: CachedRecord) -> bool:
+    """Returns whether a record only writes the known one of its key again."""
+    is_comparable = rank is not None or record.era > known.record.era
+    return is_comparable and record.value is not None and record.value == known.record.value
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -9,7 +9,7 @@
 import msgpack
 
 from fescuechute.errors import WireError
-from fescuechute.feeds import Delivery, KeyedRecord, RecordBatch
+from fescuechute.feeds import MAX_ERA, Delivery, KeyedRecord, RecordBatch
 
 #: A low level: a configuration has many similar routes and shrinks to a tenth at any level.
 _COMPRESSION_LEVEL = 1
@@ -19,9 +19,12 @@
 _KEY_ERRORS = "surrogateescape"
 
 
-def encode_records(records: Iterable[KeyedRecord]) -> bytes:
-    """Returns the compressed records."""
-    rows = [(record.offset, record.key, record.value) for record in records]
+def encode_records(records: Iterable[KeyedRecord], era: int = 0) -> bytes:
+    """Returns the compressed records of a batch of an era; kept records name their older one."""
+    rows = [
+        (record.offset, record.key, record.value, *(() if record.era == era else (record.era,)))
+        for record in records
+    ]
     return zlib.compress(msgpack.packb(rows, unicode_errors=_KEY_ERRORS), _COMPRESSION_LEVEL)
 
 
@@ -32,20 +35,24 @@
     appended_after_s: float | None,
     failed_after_s: float | None = None,
     record_appended_after_s: Sequence[float | None] = (),
+    era: int = 0,
 ) -> bytes:
     """Returns a batch.
 
     Args:
-      records: Result of `encode_records`.
+      records: Result of `encode_records` for the same era.
       end: Offset after the last record of the topic.
       confirmed_after_s: Seconds from the arrival of the call to the time up to which all records are
         known; negative if that time is earlier.
       appended_after_s: The same for the time after which all records were appended; None if unknown.
       failed_after_s: The same for the last failure of the log; None without one.
       record_appended_after_s: What `appended_after_s` says of all records, for each of them.
+      era: Era of the store in which the relay has read the records.
     """
     dates = list(record_appended_after_s)
-    return msgpack.packb((end, confirmed_after_s, appended_after_s, failed_after_s, dates, records))
+    return msgpack.packb(
+        (end, confirmed_after_s, appended_after_s, failed_after_s, dates, records, era)
+    )
 
 
 def decode_batch(data: bytes, source: str, transfer_s: float) -> RecordBatch:
@@ -55,9 +62,12 @@
       WireError: The data is no batch.
     """
     try:
-        end, confirmed_after_s, appended_after_s, failed_after_s, dates, compressed = (
+        # A batch without an era is of era 0.
+        end, confirmed_after_s, appended_after_s, failed_after_s, dates, compressed, *rest = (
             msgpack.unpackb(data)
         )
+        (era,) = rest or (0,)
+        _check_era(era, MAX_ERA)
         inflater = zlib.decompressobj()
         rows = msgpack.unpackb(
             inflater.decompress(compressed, MAX_BATCH_BYTES), unicode_errors=_KEY_ERRORS
@@ -69,7 +79,7 @@
         if len(dates) not in (0, len(rows)):
             raise ValueError(f"it dates {len(dates)} of {len(rows)} records")
         return RecordBatch(
-            tuple(_record(*row) for row in rows),
+            tuple(_record(era, *row) for row in rows),
             _offset(end),
             Delivery(source, len(data), transfer_s),
             _seconds(confirmed_after_s),
@@ -77,6 +87,7 @@
             failed_after_s=_optional_seconds(failed_after_s),
             compacted=True,
             record_appended_after_s=tuple(_optional_seconds(date) for date in dates),
+            era=era,
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
@@ -85,10 +96,19 @@
         ) from exc
 
 
-def _record(offset: object, key: object, value: object) -> KeyedRecord:
+def _record(
+    batch_era: int, offset: object, key: object, value: object, *kept_era: object
+) -> KeyedRecord:
     if not isinstance(key, str) or not isinstance(value, bytes | None):
         raise TypeError("a record has a key or a value of another type")
-    return KeyedRecord(_offset(offset), key, value)
+    (era,) = kept_era or (batch_era,)
+    return KeyedRecord(_offset(offset), key, value, _check_era(era, batch_era))
+
+
+def _check_era(value: object, at_most: int) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= at_most:
+        raise TypeError(f"{value!r:.80} is no era up to {at_most}")
+    return value
 
 
 def _offset(value: object) -> int:
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 from urllib.parse import quote
 
 import attrs
 
 from fescuechute.errors import WireError
-from fescuechute.feeds import Failure, KeyedLog, Outcome, RecordBatch, SnapshotPage
+from fescuechute.feeds import (
+    STORE_SOURCE,
+    EraWatch,
+    Failure,
+    KeyedLog,
+    Outcome,
+    RecordBatch,
+    SnapshotPage,
+)
 from fescuechute.net import HttpClient, HttpResult
 from fescuechute.relay._codec import decode_batch
 from fescuechute.relay._sources import STORE, RelayAddress, SourceSelector
@@ -60,6 +69,7 @@
       on_source_failed: Called with the name of a source and the reason when it starts to fail.
       store_waits: Whether calls to the store wait for new records. In a topic with many records, a
         relay leaves most of them out, while the store would answer each call at once.
+      eras: Newest era that the process has seen; a watch of its own by default.
     """
 
     def __init__(
@@ -71,6 +81,7 @@
         now: Callable[[], float],
         on_source_failed: Callable[[str, str], None] = lambda _source, _reason: None,
         store_waits: bool = True,
+        eras: EraWatch | None = None,
     ):
         self._store = store
         self._http = http
@@ -78,6 +89,12 @@
         self._now = now
         self._on_source_failed = on_source_failed
         self._store_waits = store_waits
+        #: Newest era that the process has seen.
+        self.eras = EraWatch() if eras is None else eras
+        #: Era in which the store last responded to this log, None before.
+        self._read_era: int | None = None
+        #: The latest call; outcomes of those before it, which the feed gave up, are ignored.
+        self._latest: _Call | None = None
         #: Sources whose last call failed.
         self._failing: set[RelayAddress] = set()
         self.timing = timing
@@ -94,8 +111,11 @@
 
         That holds also while a response of the store is arriving, however long that takes: copies for
         other processes would only slow it down. A process that reads from a relay is not current;
-        otherwise two relays without the store could read from each other.
+        otherwise two relays without the store could read from each other. Nor is one that has not read
+        in the newest era.
         """
+        if self._read_era != self.eras.newest:
+            return False
         receiving = (
             self._progress_at is not None and now - self._progress_at < self.timing.stalled_s
         )
@@ -105,13 +125,14 @@
         """Requests a page of a snapshot; a relay sends all records as one page."""
         if after:
             # Pages of different sources do not fit together.
+            self._latest = None
             self._store.snapshot(topic, after, on_end)
             return
         # A snapshot of a relay is compressed, does not cross the link to the store, and tells when its
         # records were appended.
         sources = self._sources()
         sources.sort(key=lambda source: source == STORE)
-        self._try_next(_Call(topic, None, 0.0, on_end, sources))
+        self._start(_Call(topic, None, 0.0, on_end, sources))
 
     def read(
         self, topic: str, offset: int, wait_s: float, on_end: Callable[[Outcome], None]
@@ -120,7 +141,11 @@
         sources = self._sources()
         if self.relaying or len(sources) > 1:
             wait_s = min(wait_s, self.timing.wait_s)
-        self._try_next(_Call(topic, offset, wait_s, on_end, sources))
+        self._start(_Call(topic, offset, wait_s, on_end, sources))
+
+    def _start(self, call: _Call) -> None:
+        self._latest, self._progress_at = call, None
+        self._try_next(call)
 
     def _sources(self) -> list[RelayAddress]:
         sources = self._selector.sources(self._now())
@@ -137,12 +162,15 @@
 
     def _read_store(self, call: _Call) -> None:
         def on_outcome(outcome: Outcome) -> None:
+            if call is not self._latest:
+                return
             self._progress_at = None
+            outcome = self._check_era(outcome, STORE_SOURCE)
             if isinstance(outcome, Failure):
                 self._store_responded_at = float("-inf")
                 self._on_failure(call, STORE, outcome, responded=False)
             else:
-                self._store_responded_at = self._now()
+                self._store_responded_at, self._read_era = self._now(), outcome.era
                 self._failing.discard(STORE)
                 if isinstance(outcome, RecordBatch) and call.failed_over:
                     outcome = attrs.evolve(outcome, prompt=False)
@@ -152,20 +180,36 @@
             self._store.snapshot(call.topic, "", on_outcome)
         else:
             wait_s = call.wait_s if self._store_waits else 0.0
-            self._store.read(call.topic, call.offset, wait_s, on_outcome, self._on_progress)
+            on_progress = partial(self._on_progress, call)
+            self._store.read(call.topic, call.offset, wait_s, on_outcome, on_progress)
+
+    def _on_progress(self, call: _Call) -> None:
+        if call is self._latest:
+            self._progress_at = self._now()
 
-    def _on_progress(self) -> None:
-        self._progress_at = self._now()
+    def _check_era(self, outcome: Outcome, source: str) -> Outcome:
+        """Notes the era of an outcome; returns a failure in place of one of an older era."""
+        if outcome.era is None:
+            return outcome
+        self.eras.observe(outcome.era, self._now(), source)
+        if isinstance(outcome, Failure) or not self.eras.is_old(outcome.era):
+            return outcome
+        reason = f"{source} is in era {outcome.era}, which is older than {self.eras.newest}"
+        return Failure(reason, outcome.era)
 
     def _read_relay(self, call: _Call, relay: RelayAddress) -> None:
         name = f"{relay.ip}:{relay.port}"
+        # The feed reads anew as soon as an era is seen, so its offset is of the newest one.
+        era = "" if self.eras.newest is None else f"&era={self.eras.newest}"
         path = (
-            f"{RECORDS_PATH}?topic={quote(call.topic)}&from={call.offset or 0}"
+            f"{RECORDS_PATH}?topic={quote(call.topic)}&from={call.offset or 0}{era}"
             f"&wait_ms={call.wait_s * 1000:.0f}"
         )
 
         def on_result(result: HttpResult) -> None:
-            outcome = _relay_outcome(result, name, call.offset is None)
+            if call is not self._latest:
+                return
+            outcome = self._check_era(_relay_outcome(result, name, call.offset is None), name)
             if isinstance(outcome, Failure):
                 self._on_failure(call, relay, outcome, responded=not result.error)
             else:
@@ -214,4 +258,5 @@
         batch.confirmed_after_s,
         batch.failed_after_s,
         tuple(date for _, date in present),
+        batch.era,
     )
--- a/fescuechute/relay/_server.py
+++ b/fescuechute/relay/_server.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import parse_qs
 
 import attrs
 
-from fescuechute.feeds import Feed, KeyedRecord
+from fescuechute.feeds import MAX_ERA, Feed, KeyedRecord
 from fescuechute.forwarding import ClientRequest
 from fescuechute.relay._cache import CachedRecord, RecordCache
 from fescuechute.relay._codec import encode_batch, encode_records
@@ -15,6 +16,9 @@
 
 #: Largest accepted wait of a call, in seconds.
 _MAX_WAIT_S = 30.0
+#: Seconds after a rise of the era for which waiting calls are not refused. They are answered as soon as
+#: this relay has read anew; refused ones would all read from the store.
+REREAD_HOLD_S = 0.5
 
 
 @attrs.frozen(eq=False)
@@ -24,6 +28,8 @@
     request: ClientRequest
     #: Offset of the first requested record.
     offset: int
+    #: Era in which the caller has this offset.
+    era: int
     #: Unix seconds at which the call arrived, and at which it is answered without new records.
     arrived_at: float
     wait_until: float
@@ -42,6 +48,7 @@
       count: Increments a named counter.
       superseded_ttl_s: Returns the seconds for which a record is passed on after a newer one of its
         key, given the key.
+      rank: Returns the rank of a record; see `RecordCache`.
     """
 
     def __init__(
@@ -51,6 +58,7 @@
         now: Callable[[], float],
         count: Callable[[str], None],
         superseded_ttl_s: Callable[[str], float] = lambda _key: 0.0,
+        rank: Callable[[str, bytes], Any] | None = None,
     ):
         self._topic = topic
         self._log = log
@@ -58,10 +66,10 @@
         self._count = count
         self._superseded_ttl_s = superseded_ttl_s
         self._feed: Feed | None = None
-        self._cache = RecordCache()
+        self._cache = RecordCache(rank)
         self._waiting: list[_WaitingCall] = []
         #: Encoded records of the last response, by the first requested offset, the end offset and the
-        #: number of records, which falls when superseded ones expire.
+        #: generation of the cache.
         self._encoded: tuple[tuple[int, int, int], bytes] | None = None
         #: Whether calls are accepted.
         self._open = False
@@ -84,32 +92,44 @@
         ttl_s = self._superseded_ttl_s(record.key)
         self._cache.add(record, self._feed.earliest_appended_at, ttl_s)
 
-    def retain(self, keys: frozenset[str]) -> None:
-        """Removes the records of keys that a snapshot of the feed did not contain."""
+    def retain(self, keys: frozenset[str]) -> list[str]:
+        """Removes the records of keys that a snapshot of the feed did not contain.
+
+        Returns:
+          The keys of the records of older eras that are kept.
+        """
         assert self._feed is not None
-        self._cache.retain(keys, self._feed.next_offset or 0)
+        return self._cache.retain(keys, self._feed.next_offset or 0, self._feed.era)
 
     def is_current(self, now: float) -> bool:
         """Returns whether other processes may rely on the records."""
-        if not self._open or self._feed is None or not self._feed.complete:
+        feed = self._feed
+        if not self._open or feed is None or not feed.complete or feed.confirmed_at is None:
             return False
-        return self._log.is_current(now)
+        return feed.era == (self._log.eras.newest or 0) and self._log.is_current(now)
 
     def handle(self, request: ClientRequest) -> None:
         """Answers a call, at once or when new records or the end of its wait arrive."""
         path, _, query = request.target.decode("latin-1").partition("?")
         fields = {name: values[0] for name, values in parse_qs(query).items()}
         try:
-            offset = int(fields["from"])
+            offset, era = int(fields["from"]), int(fields.get("era", "0"))
             wait_s = min(int(fields.get("wait_ms", "0")) / 1000, _MAX_WAIT_S)
+            if not 0 <= era <= MAX_ERA:
+                raise ValueError(f"era {era} is out of range")
         except (KeyError, ValueError):
-            request.response.send(400, [], b"Give `from` and `wait_ms` as whole numbers.")
+            message = b"Give `from`, `wait_ms` and `era` as whole numbers, `era` up to 2**53."
+            request.response.send(400, [], message)
             return
         if path != RECORDS_PATH or fields.get("topic") != self._topic:
             request.response.send(404, [], b"This relay has no such topic.")
             return
         now = self._now()
-        self._waiting.append(_WaitingCall(request, offset, now, now + wait_s))
+        # A caller may have learned of a new era first; this relay then has to read anew. What it sees
+        # first must come from a source, or the answer of the store would be a rise.
+        if self._log.eras.newest is not None:
+            self._log.eras.observe(era, now, "follower")
+        self._waiting.append(_WaitingCall(request, offset, era, now, now + wait_s))
         self.tick(now)
 
     def tick(self, now: float) -> None:
@@ -121,12 +141,23 @@
         for call in waiting:
             if not call.request.response.is_open:
                 continue
-            if not current:
-                self._refuse(call.request)
-            elif self._cache.newest_offset >= call.offset or now >= call.wait_until:
+            if current and self._is_due(call, now):
                 self._respond(call)
-            else:
+            elif current or self._is_held(call, now):
                 self._waiting.append(call)
+            else:
+                self._refuse(call.request)
+
+    def _is_due(self, call: _WaitingCall, now: float) -> bool:
+        assert self._feed is not None
+        has_records = self._cache.newest_offset >= call.offset
+        return has_records or call.era < self._feed.era or now >= call.wait_until
+
+    def _is_held(self, call: _WaitingCall, now: float) -> bool:
+        """Returns whether a call of an older era waits until this relay has read anew."""
+        eras = self._log.eras
+        held_until = min(call.wait_until, eras.risen_at + REREAD_HOLD_S)
+        return self._open and eras.is_old(call.era) and now < held_until
 
     @property
     def _next_offset(self) -> int:
@@ -138,13 +169,15 @@
 
     def _respond(self, call: _WaitingCall) -> None:
         assert self._feed is not None and self._feed.confirmed_at is not None
-        self._cache.evict(self._now())
-        found = self._cache.since(call.offset)
-        end = self._next_offset
+        self._cache.evict(self._now(), self._log.eras.kept_until)
+        era, end = self._feed.era, self._next_offset
+        # An offset of an older era says nothing; the caller reads a snapshot when it sees the era.
+        is_outdated = call.era < era and call.offset > 0
+        found = [] if is_outdated else self._cache.since(call.offset)
         appended_after_s = _earliest(found)
         failed_at = self._feed.failed_at
         body = encode_batch(
-            self._encode(call.offset, end, found),
+            encode_records([], era) if is_outdated else self._encode(call.offset, end, found),
             end,
             self._feed.confirmed_at - call.arrived_at,
             None if appended_after_s is None else appended_after_s - call.arrived_at,
@@ -153,15 +186,18 @@
                 None if known.appended_after is None else known.appended_after - call.arrived_at
                 for known in found
             ],
+            era,
         )
         self._count("relay.responses")
         call.request.response.send(200, [(b"Content-Type", b"application/msgpack")], body)
 
     def _encode(self, offset: int, end: int, found: list[CachedRecord]) -> bytes:
         # Most processes of a region ask for the same records.
-        scope = (offset, end, len(found))
+        scope = (offset, end, self._cache.generation)
         if self._encoded is None or self._encoded[0] != scope:
-            self._encoded = (scope, encode_records(known.record for known in found))
+            assert self._feed is not None
+            records = (known.record for known in found)
+            self._encoded = (scope, encode_records(records, self._feed.era))
         return self._encoded[1]
 
 
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -114,6 +114,7 @@
             RelayTiming.from_config_apply(cfg.service_levels.config_apply_s),
             self.clock.now,
             self._on_source_failed,
+            eras=self.eras,
         )
         #: The registry, read from the relays of the region or from the store.
         self.registry_log = RelayedLog(
@@ -124,6 +125,7 @@
             self.clock.now,
             self._on_source_failed,
             store_waits=False,
+            eras=self.eras,
         )
         self.stopping = False
         #: Unix seconds of the latest tick, None before the first.
--- a/tests/relay/relay_harness.py
+++ b/tests/relay/relay_harness.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from fescuechute.feeds import Feed, FeedSettings, RecordBatch, SnapshotPage
+from fescuechute.feeds import EraWatch, Feed, FeedSettings, RecordBatch, SnapshotPage
 from fescuechute.forwarding import ClientRequest
 from fescuechute.net import HttpResult, ManualClock
 from fescuechute.relay import (
@@ -60,13 +60,16 @@
 class Reader:
     """A relay that reads from the store."""
 
-    def __init__(self, superseded_ttl_s=0.0):
+    def __init__(self, superseded_ttl_s=0.0, rank=None):
         self.clock, self.store, self.http = ManualClock(100.0), FakeStore(), FakeHttp()
         selector = SourceSelector("front-0/a", "d", lambda _now: [RELAYS[0]])
-        self.log = RelayedLog(self.store, self.http, selector, TIMING, self.clock.now)
+        self.eras = EraWatch()
+        self.log = RelayedLog(
+            self.store, self.http, selector, TIMING, self.clock.now, eras=self.eras
+        )
         self.log.relaying = True
         self.server = RelayServer(
-            "t", self.log, self.clock.now, lambda _name: None, lambda _key: superseded_ttl_s
+            "t", self.log, self.clock.now, lambda _name: None, lambda _key: superseded_ttl_s, rank
         )
         self.feed = Feed(
             self.log,
@@ -76,6 +79,7 @@
             self.server.retain,
             lambda _reason: None,
             Random(1),
+            self.eras,
         )
         self.server.start(self.feed)
 
