Keep evacuations across a return of the store, and ask relays what it lost

The table now compares positions, era first. What the copy lacks holds until it is deleted in the new era, or lapses 60 s after the rise.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -197,6 +197,23 @@
             wait_s = self._call_wait_s(now)
             self._log.read(self._settings.topic, self._next_offset, wait_s, on_end)
 
+    def apply_kept(
+        self, record: KeyedRecord, appended_after: float | None, delivery: Delivery
+    ) -> None:
+        """Applies a record of an older era that a relay has kept against the copy of the store.
+
+        Args:
+          record: The record.
+          appended_after: Unix seconds after which it was appended, None if unknown.
+          delivery: How it arrived.
+        """
+        if not self.complete or record.era >= self.era:
+            return
+        self.earliest_appended_at = appended_after
+        self.earliest_omitted_at = self._undated_after()
+        self.delivery = delivery
+        self._on_record(record)
+
     def _call_wait_s(self, now: float) -> float:
         """Returns the seconds for which the next read waits for new records."""
         # After a failure the call must not wait, or a recovery of the store would go unnoticed for up
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -6,7 +6,7 @@
 
 from fescuechute.catalog import Configuration, Evacuation, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
-from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
     ClientRequest,
     ClientServer,
@@ -41,6 +41,7 @@
 from fescuechute.relay import (
     DateQuery,
     FirstRead,
+    KeptQuery,
     RelayAddress,
     RelayAnnouncer,
     RelayRouter,
@@ -207,6 +208,9 @@
             self.registry_log,
         )
         self.date_query = DateQuery(Topic.OPERATORS, self.http, self._on_record_date)
+        self.kept_query = KeptQuery(
+            Topic.OPERATORS, self.http, self.eras, self.operator_feed.apply_kept, self.rng
+        )
         #: Unix seconds until which relays are asked for dates, None before the first complete read.
         self._dates_wanted_until: float | None = None
         self._first_read = FirstRead(now(), FIRST_READ_WAIT_S, FIRST_READ_SPREAD_S, self.rng)
@@ -253,6 +257,7 @@
         )
         self.registry_feed.tick(now)
         self._ask_for_dates(now)
+        self._keep_records(now)
         for row in self.upstreams.expire(now):
             self._on_upstream_gone(row.instance, "lapsed")
         self._relay_records(now)
@@ -345,8 +350,19 @@
         if self._dates_wanted_until is None:
             self._dates_wanted_until = now + self.versions.bound_s
         if now < self._dates_wanted_until and self.versions.any_undated:
-            others = [relay for relay in self.region_relays(now) if relay != self._relay_address]
-            self.date_query.tick(now, others)
+            self.date_query.tick(now, self._other_relays(now))
+
+    def _other_relays(self, now: float) -> list[RelayAddress]:
+        return [relay for relay in self.region_relays(now) if relay != self._relay_address]
+
+    def _keep_records(self, now: float) -> None:
+        """Asks the relays for what the store has lost; ends what was not written again in time."""
+        if self.kept_query.is_asking(now):
+            self.kept_query.tick(now, self._other_relays(now))
+        feed = self.operator_feed
+        if feed.complete and now >= self.eras.kept_until:
+            for data_centre in self.evacuations.expire(feed.era, now):
+                self._on_evacuation(data_centre, "lapsed", None)
 
     def _may_read_operators(self, now: float) -> bool:
         """Returns whether to read the operators' records; the first read waits for relays for a time.
@@ -459,24 +475,26 @@
             self._apply_version_declaration(decoded, record.offset)
         elif isinstance(decoded, Evacuation):
             now, source = self.clock.now(), self.operator_feed.delivery.source
-            if self.evacuations.start(decoded.data_centre, record.offset, now, source):
+            if self.evacuations.start(decoded.data_centre, record.offset, now, source, record.era):
                 self._on_evacuation(decoded.data_centre, "started", record.offset)
         elif record.value is None:
             data_centre = evacuated_data_centre(record.key)
             if data_centre is not None and self.evacuations.end(
-                data_centre, record.offset, self.clock.now()
+                data_centre, record.offset, self.clock.now(), record.era
             ):
                 self._on_evacuation(data_centre, "ended", record.offset)
 
     def _on_operator_snapshot(self, keys: frozenset[str]) -> None:
         self.relay_server.retain(keys)
         self._has_read_operators = True
-        end = self.operator_feed.next_offset or 0
+        end, era = self.operator_feed.next_offset or 0, self.operator_feed.era
+        if self.operator_feed.delivery.source == STORE_SOURCE:
+            self.kept_query.start(era, self.clock.now())
         names = [name for name in map(evacuated_data_centre, keys) if name is not None]
-        for data_centre in self.evacuations.retain(names, end, self.clock.now()):
+        for data_centre in self.evacuations.retain(names, end, self.clock.now(), era):
             self._on_evacuation(data_centre, "ended", end - 1)
 
-    def _on_evacuation(self, data_centre: str, change: str, offset: int) -> None:
+    def _on_evacuation(self, data_centre: str, change: str, offset: int | None) -> None:
         """Places requests anew that have not been sent, and greets the engines that are near now."""
         appended_at = self.operator_feed.earliest_appended_at
         self.telemetry.event(
--- a/fescuechute/relay/__init__.py
+++ b/fescuechute/relay/__init__.py
@@ -10,6 +10,7 @@
 from fescuechute.relay._dates import DateQuery
 from fescuechute.relay._directory import RelayDirectory
 from fescuechute.relay._first_read import FirstRead
+from fescuechute.relay._kept import KeptQuery
 from fescuechute.relay._log import RelayedLog
 from fescuechute.relay._router import RelayRouter
 from fescuechute.relay._server import RelayServer
@@ -20,6 +21,7 @@
     "STORE",
     "DateQuery",
     "FirstRead",
+    "KeptQuery",
     "RecordCache",
     "RelayAddress",
     "RelayAnnouncer",
--- a/fescuechute/relay/_dates.py
+++ b/fescuechute/relay/_dates.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from urllib.parse import quote
+from functools import partial
 
-from fescuechute.errors import WireError
-from fescuechute.feeds import KeyedRecord
-from fescuechute.net import HttpClient, HttpResult
-from fescuechute.relay._codec import decode_batch
-from fescuechute.relay._log import RECORDS_PATH
+from fescuechute.feeds import KeyedRecord, RecordBatch
+from fescuechute.net import HttpClient
+from fescuechute.relay._query import request_records
 from fescuechute.relay._sources import RelayAddress
 
-#: Seconds between two calls, and seconds without data after which a call fails.
+#: Seconds between two calls.
 INTERVAL_S = 0.5
-TIMEOUT_S = 0.5
 
 
 class DateQuery:
@@ -55,22 +52,11 @@
         self._next_call_at = now + INTERVAL_S
         relay = relays[self._calls % len(relays)]
         self._calls += 1
-        path = f"{RECORDS_PATH}?topic={quote(self._topic)}&from=0&wait_ms=0"
-        self._http.call(
-            "GET",
-            (relay.ip, relay.port),
-            path,
-            lambda result: self._on_result(result, relay, now),
-            idle_timeout_s=TIMEOUT_S,
-        )
+        request_records(self._http, self._topic, relay, partial(self._on_end, now))
 
-    def _on_result(self, result: HttpResult, relay: RelayAddress, called_at: float) -> None:
+    def _on_end(self, called_at: float, batch: RecordBatch | None) -> None:
         self._in_flight = False
-        if not result.ok:
-            return
-        try:
-            batch = decode_batch(result.body, f"{relay.ip}:{relay.port}", result.transfer_s)
-        except WireError:
+        if batch is None:
             return
         dates = batch.record_appended_after_s or (None,) * len(batch.records)
         seen: set[tuple[str, bytes | None]] = set()
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -15,7 +15,7 @@
     VersionDeclaration,
 )
 from fescuechute.errors import Problem, SettingsError
-from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, FeedSettings, KeyedRecord
 from fescuechute.forwarding import ClientServer
 from fescuechute.net import MAX_BODY_BYTES, LinkHub
 from fescuechute.platform import (
@@ -26,7 +26,7 @@
     decode_operator_record,
     decode_registration,
 )
-from fescuechute.relay import FirstRead
+from fescuechute.relay import FirstRead, KeptQuery
 from fescuechute.runtime import Process
 from fescuechute.stager._chunk_transfer import (
     USABLE_LINK_SHARE,
@@ -162,9 +162,12 @@
         self.operator_feed = self.make_feed(
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
-            lambda _keys: None,
+            self._on_operator_snapshot,
             self.operator_log,
         )
+        self.kept_query = KeptQuery(
+            Topic.OPERATORS, self.http, self.eras, self.operator_feed.apply_kept, self.rng
+        )
         self.registry_feed = self.make_feed(
             FeedSettings(Topic.REGISTRY, REGISTRY_WAIT_S, REGISTRY_POLL_S),
             self._on_registration,
@@ -213,6 +216,8 @@
         if self._may_read(now):
             self.operator_feed.tick(now)
             self.registry_feed.tick(now)
+        if self.kept_query.is_asking(now):
+            self.kept_query.tick(now, self.region_relays(now))
         self.hub.tick(now)
         self.chunk_server.tick(now)
         if not self._report_in_flight and now >= self._next_report_at:
@@ -597,6 +602,10 @@
             self._declarations[decoded.model] = (decoded.version, record.offset)
             self._plan_declared_version()
 
+    def _on_operator_snapshot(self, _keys: frozenset[str]) -> None:
+        if self.operator_feed.delivery.source == STORE_SOURCE:
+            self.kept_query.start(self.operator_feed.era, self.clock.now())
+
     def _plan_declared_version(self) -> None:
         """Plans the declared version of the engine's model.
 
--- a/tests/feeds/test_feed_eras.py
+++ b/tests/feeds/test_feed_eras.py
@@ -206,3 +206,14 @@
     reader.eras.observe(3, 104.0)
     reader.answer(page(rec(4, era=3), era=3))
     assert reader.bounds == [100.0]
+
+
+def test_kept_record_of_a_relay_does_not_move_the_offset():
+    """Guards against records that are skipped because one of an older era had a higher offset."""
+    reader = Reader()
+    reader.feed.apply_kept(rec(90, era=0), 95.0, RELAY)
+    reader.rise()
+    reader.start()
+    reader.feed.apply_kept(rec(91, era=1), 95.0, RELAY)
+    assert (reader.records, reader.bounds) == ([rec(90, era=0)], [95.0])
+    assert reader.feed.next_offset is None
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -1,5 +1,7 @@
 """Evacuated data centres: guards against requests to them, and against evacuations without an end."""
 
+import pytest
+
 from fescuechute.gateway import EvacuationTable
 
 FAR_PAST = float("-inf")
@@ -58,3 +60,25 @@
     table = EvacuationTable()
     assert not table.end("a", 3, 15.0)
     assert (table.ended_at("a"), table.generation) == (FAR_PAST, 0)
+
+
+@pytest.mark.parametrize(
+    ("name", "change", "held", "held_after_expiry"),
+    [
+        ("lost", lambda table: table.retain([], 9, 20.0, 1), True, False),
+        ("in the copy", lambda table: table.start("a", 2, 20.0, "store", 1), True, True),
+        ("written again", lambda table: table.start("a", 8, 20.0, "store", 1), True, True),
+        ("deleted in the new era", lambda table: table.end("a", 0, 20.0, 1), False, False),
+        ("deleted in the old era", lambda table: table.end("a", 90, 20.0, 0), False, False),
+        ("kept by a relay", lambda table: table.retain(["a"], 9, 20.0, 1), True, False),
+    ],
+)
+def test_evacuation_from_before_a_return_holds(name, change, held, held_after_expiry):
+    """Guards against requests to an evacuated data centre because the store lost its record."""
+    table = EvacuationTable()
+    table.start("a", 50, 10.0, "store", 0)
+    change(table)
+    assert table.is_evacuated("a") is held, name
+    table.expire(1, 80.0)
+    assert table.is_evacuated("a") is held_after_expiry, name
+    assert table.is_evacuated("a") or not table.start("a", 50, 81.0, "relay", 0)
