Date nothing by the log at first in a process that starts in a later era

Callers would reach an old version longer than the bound allows: a gateway that starts just after a return has seen no rise, so it took the second writing of a declaration for a new one and passed that date on. In any era but the first, it now leaves records without a date for the settling time, so that its relays date them.

Evidence: the new case of test_feed_eras.py expects no date where the feed gave 100.0 s before. Measured: tests/feeds, tests/relay, tests/runtime and test_gateway_records.py pass with -n 2.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -104,7 +104,7 @@
         #: Unix seconds up to which every record was known before the rise of the era, None if unknown.
         self._confirmed_before_rise: float | None = None
         #: Unix seconds until which `confirmed_at` does not advance, and until which records that are
-        #: seen first may have been written before the rise.
+        #: seen first may be second writings.
         self._settled_at = float("-inf")
         self._dated_from = float("-inf")
         #: Whether `confirmed_at` is still the one from before the rise.
@@ -228,16 +228,17 @@
 
     def _follow_era(self, now: float) -> bool:
         """Starts a new snapshot if the era has risen; returns whether it has."""
-        newest, risen_at = self._eras.newest, self._eras.risen_at
+        newest, seen_at, risen_at = self._eras.newest, self._eras.seen_at, self._eras.risen_at
         if newest is None or newest == self._era:
             return False
         is_rise = self._era is not None
         self._era = newest
         # What was confirmed between two rises that follow closely may be a second writing as well.
-        if risen_at >= self._dated_from:
+        if seen_at >= self._dated_from:
             self._confirmed_before_rise = self.confirmed_at
         self._settled_at = risen_at + self._settings.settle_s
-        self._dated_from = risen_at + DATE_SETTLING_S
+        # A process that starts in a later era than the first does not know when it rose.
+        self._dated_from = (seen_at if newest else risen_at) + DATE_SETTLING_S
         self.failed_at = max(self.failed_at, risen_at)
         if not is_rise:
             return False
--- a/tests/feeds/test_feed_eras.py
+++ b/tests/feeds/test_feed_eras.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.now, self.calls, self.records, self.bounds, self.snapshots = 100.0, [], [], [], []
         self.eras = EraWatch()
+        self.eras.observe(1, 50.0)
         self.feed = Feed(
             self,
             FeedSettings("t", 1.0, settle_s=SETTLE_S),
@@ -217,3 +218,21 @@
     reader.feed.apply_kept(rec(91, era=1), 95.0, RELAY)
     assert (reader.records, reader.bounds) == ([rec(90, era=0)], [95.0])
     assert reader.feed.next_offset is None
+
+
+@pytest.mark.parametrize(("era", "bound"), [(0, 100.0), (1, None)])
+def test_process_that_starts_in_a_later_era_dates_nothing_at_first(era, bound):
+    """Guards against a bound that starts anew at a process that started just after a return."""
+    reader = Reader()
+    reader.feed = Feed(
+        reader,
+        FeedSettings("t", 1.0),
+        lambda: reader.now,
+        reader.on_record,
+        reader.snapshots.append,
+        lambda _reason: None,
+        Random(1),
+    )
+    reader.answer(page(end=5, era=era))
+    reader.answer(RecordBatch((rec(5, era=era),), 6, era=era), after_s=0.05)
+    assert reader.bounds == [bound]
