Log each rise of the era and what is kept against the copy

On-call could not tell a return of the store from a trim or a cut, nor see why a gateway serves by a newer configuration than the store has: no line named the era. `store.era` gives the eras and the source that told of the new one, and `record.kept` each key that a gateway keeps; both are counted.

Measured: the test of a gateway over a return counts one rise and three kept records; test_gateway_records.py, tests/runtime and test_pages.py pass.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -485,9 +485,10 @@
                 self._on_evacuation(data_centre, "ended", record.offset)
 
     def _on_operator_snapshot(self, keys: frozenset[str]) -> None:
-        self.relay_server.retain(keys)
-        self._has_read_operators = True
         end, era = self.operator_feed.next_offset or 0, self.operator_feed.era
+        for key in self.relay_server.retain(keys):
+            self.telemetry.event("record.kept", key=key, era=era)
+        self._has_read_operators = True
         if self.operator_feed.delivery.source == STORE_SOURCE:
             self.kept_query.start(era, self.clock.now())
         names = [name for name in map(evacuated_data_centre, keys) if name is not None]
--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -95,7 +95,7 @@
             self.loop.add(owner)
         _ExceptionReporter(self._log_exception).register(self.loop)
         #: The newest era of the store that any reader of this process has seen.
-        self.eras = EraWatch()
+        self.eras = EraWatch(self._on_era_rise)
         self.store = StoreClient(
             self.http,
             self.settings.store.address,
@@ -270,6 +270,9 @@
     def _on_store_era(self, era: int) -> None:
         self.eras.observe(era, self.clock.now(), STORE_SOURCE)
 
+    def _on_era_rise(self, previous: int, era: int, source: str) -> None:
+        self.telemetry.event("store.era", **{"from": previous, "to": era}, source=source)
+
     def _on_source_failed(self, source: str, reason: str) -> None:
         self.telemetry.event("source.failed", source=source, reason=reason)
 
--- a/tests/platform/test_gateway_records.py
+++ b/tests/platform/test_gateway_records.py
@@ -3,6 +3,7 @@
 import json
 from collections import Counter
 
+import attrs
 import pytest
 
 from fescuechute.catalog import Service
@@ -249,3 +250,28 @@
         relay = RelayAddress(f"g-{number}", "127.0.0.9", 18000 + number)
         daemon.relays.add("r", relay, now)
     assert daemon._region_gateway_count(now) == 9
+
+
+def test_return_of_the_store_takes_nothing_back(gateway):
+    """Guards against older configurations, new bounds and ended evacuations after a return."""
+    old = [config(0, 2, "r"), KeyedRecord(1, "evacuate/z", b"{}"), declaration(2, 2)]
+    gateway.receive(SnapshotPage((), False, 0, RELAY))
+    gateway.receive(RecordBatch(tuple(old), 3, RELAY, appended_after_s=0.0))
+    bound = gateway.daemon.versions.cancel_unstarted_at("m", 1)
+    copy = attrs.evolve(config(0, 1), era=1)
+    gateway.receive(Trimmed(1), SnapshotPage((copy,), False, 1, era=1))
+    assert gateway.daemon.access.table.configuration.version == 2
+    assert gateway.daemon.evacuations.is_evacuated("z")
+    cached = [item.record for item in gateway.daemon.relay_server._cache.since(0)]
+    assert cached == old
+    metrics = gateway.daemon.telemetry.render_metrics().decode()
+    for name, n in [("store.era", 1), ("record.kept", 3)]:
+        assert f'fescuechute_events_total{{name="{name}",reason=""}} {n}.0' in metrics
+    again = [attrs.evolve(record, era=1, offset=n) for n, record in enumerate(reversed(old), 1)]
+    gateway.receive(RecordBatch(tuple(again), 4, era=1))
+    assert gateway.daemon.versions.cancel_unstarted_at("m", 1) == bound
+    items = gateway.daemon.relay_server._cache.since(0)
+    assert [item.record for item in items] == again
+    assert len({item.appended_after for item in items}) == 1
+    gateway.receive(RecordBatch((KeyedRecord(4, "evacuate/z", None, 1),), 5, era=1))
+    assert not gateway.daemon.evacuations.is_evacuated("z")
