--- a/fescuechute/feeds/__init__.py
+++ b/fescuechute/feeds/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from fescuechute.feeds._era import KEPT_S, MAX_ERA, EraWatch, Position
-from fescuechute.feeds._feed import Feed, FeedSettings
+from fescuechute.feeds._feed import DatedBy, Feed, FeedSettings
 from fescuechute.feeds._outcomes import (
     STORE_SOURCE,
     Delivery,
@@ -21,6 +21,7 @@
     "KEPT_S",
     "MAX_ERA",
     "STORE_SOURCE",
+    "DatedBy",
     "Delivery",
     "EraWatch",
     "Failure",
--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 from collections.abc import Callable
 from functools import partial, singledispatchmethod
@@ -10,7 +11,6 @@
 
 from fescuechute.feeds._era import EraWatch
 from fescuechute.feeds._outcomes import (
-    STORE_SOURCE,
     Delivery,
     Failure,
     KeyedLog,
@@ -26,12 +26,6 @@
 #: Upper limit on the delay after any failed call, in seconds. It keeps the time from the end of an
 #: outage to the next read well below the 2 s in which a configuration must be in force.
 BACKOFF_CAP_S = 0.5
-#: Upper bound in seconds on the time from an append until a waiting call returns the record,
-#: without faults: the store responds within a few ms, and a round trip between regions takes 4 ms.
-MAX_DELIVERY_S = 0.15
-#: Seconds between two ticks from which on the process counts as having been suspended. Its loop
-#: ticks at least 20 times a second.
-SUSPENSION_GAP_S = 0.25
 #: Seconds after a rise of the era for which a record that is seen first may be a second writing of one
 #: that the store has lost.
 DATE_SETTLING_S = 5.0
@@ -40,6 +34,15 @@
 CONFIRM_WAIT_S = 0.1
 
 
+class DatedBy(enum.StrEnum):
+    """What the time after which records were appended rests on."""
+
+    #: The start of an earlier call whose response did not include them.
+    CONFIRMATION = "confirmation"
+    #: The source of the response, a relay.
+    SOURCE = "source"
+
+
 @attrs.frozen
 class FeedSettings:
     """Topic and polling parameters of a feed."""
@@ -122,14 +125,13 @@
         self._snapshot_keys: set[str] = set()
         #: Unix seconds at which the latest call was started.
         self._call_started_at = 0.0
-        self._last_tick_at = 0.0
         self._has_read = False
-        #: Unix seconds at which a suspension of the process was last detected.
-        self._suspension_detected_at = float("-inf")
         #: Unix seconds up to which every acknowledged record is known; None before a snapshot.
         self.confirmed_at: float | None = None
         #: Unix seconds after which the records being handled were appended; None if unknown.
         self.earliest_appended_at: float | None = None
+        #: What that time rests on.
+        self.dated_by = DatedBy.CONFIRMATION
         #: Unix seconds after which older records of the keys being handled may have been appended that
         #: the log left out; infinity if it left out none, None if unknown.
         self.earliest_omitted_at: float | None = None
@@ -179,9 +181,6 @@
 
     def tick(self, now: float) -> None:
         """Starts the call that is due."""
-        if self._was_suspended(now):
-            self._suspension_detected_at = now
-        self._last_tick_at = now
         self._follow_era(now)
         if self._in_flight or now < self._next_call_at:
             return
@@ -210,6 +209,7 @@
         if not self.complete or record.era >= self.era:
             return
         self.earliest_appended_at = appended_after
+        self.dated_by = DatedBy.SOURCE
         self.earliest_omitted_at = self._undated_after()
         self.delivery = delivery
         self._on_record(record)
@@ -285,11 +285,9 @@
         self.earliest_omitted_at = undated = self._undated_after()
         dates = outcome.appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            if appended_after_s is not None:
-                self.earliest_appended_at = self._call_started_at + appended_after_s
-            else:
-                # A record that a relay kept may be older than anything that was confirmed since.
-                self.earliest_appended_at = undated if record.era == outcome.era else None
+            # A record that a relay kept may be older than anything that was confirmed since.
+            default = undated if record.era == outcome.era else None
+            self._date(appended_after_s, default, DatedBy.CONFIRMATION)
             self._snapshot_keys.add(record.key)
             self._on_record(record)
         if outcome.has_more and outcome.records:
@@ -304,16 +302,13 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         appended_at = self.earliest_appended_at = self._appended_after(outcome)
+        dated_by = self.dated_by
         self.earliest_omitted_at = self._undated_after() if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
         dates = outcome.record_appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            self.earliest_appended_at = (
-                appended_at
-                if appended_after_s is None
-                else self._call_started_at + appended_after_s
-            )
+            self._date(appended_after_s, appended_at, dated_by)
             self._on_record(record)
             if record.era == outcome.era:
                 self._next_offset = record.offset + 1
@@ -322,6 +317,16 @@
         if self._next_offset is not None and self._next_offset >= outcome.end:
             self._confirm(self._call_started_at + outcome.confirmed_after_s)
 
+    def _date(
+        self, appended_after_s: float | None, default: float | None, dated_by: DatedBy
+    ) -> None:
+        """Dates the next record by its source, or by a default without a date of the source."""
+        if appended_after_s is None:
+            self.earliest_appended_at, self.dated_by = default, dated_by
+        else:
+            self.earliest_appended_at = self._call_started_at + appended_after_s
+            self.dated_by = DatedBy.SOURCE
+
     def _note_failure(self, outcome: SnapshotPage | RecordBatch) -> None:
         if outcome.failed_after_s is not None:
             failed_at = self._call_started_at + outcome.failed_after_s
@@ -344,26 +349,15 @@
     def _appended_after(self, outcome: RecordBatch) -> float | None:
         """Returns the unix seconds after which the records of a response were appended.
 
-        A waiting call returns within MAX_DELIVERY_S of an append, unless the store was unavailable
-        or this process was suspended in the meantime. In those cases, and if the call did not
-        wait, only `confirmed_at` is a safe bound; soon after a rise of the era, only what was
-        confirmed before it.
+        Only an earlier response that lacks them is a proof. The arrival of a response to a waiting call
+        is none: a link may hold a response back behind large ones for longer than the call could wait.
+        Soon after a rise of the era, only a response from before it is a proof.
         """
-        if outcome.appended_after_s is not None:
-            return self._call_started_at + outcome.appended_after_s
-        if outcome.delivery.source != STORE_SOURCE or not outcome.prompt:
+        if outcome.appended_after_s is None:
+            self.dated_by = DatedBy.CONFIRMATION
             return self._undated_after()
-        now = self._now()
-        if now < self._dated_from:
-            return self._confirmed_before_rise
-        suspended = self._was_suspended(now) or self._suspension_detected_at > self._call_started_at
-        if self.confirmed_at is None or self._consecutive_failures or suspended:
-            return self.confirmed_at
-        waited = now - self._call_started_at > MAX_DELIVERY_S
-        return now - MAX_DELIVERY_S if waited else self.confirmed_at
-
-    def _was_suspended(self, now: float) -> bool:
-        return now - self._last_tick_at >= SUSPENSION_GAP_S
+        self.dated_by = DatedBy.SOURCE
+        return self._call_started_at + outcome.appended_after_s
 
     @_handle.register
     def _(self, _outcome: Trimmed) -> None:
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -6,7 +6,7 @@
 
 from fescuechute.catalog import Configuration, Evacuation, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
-from fescuechute.feeds import STORE_SOURCE, FeedSettings, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, DatedBy, FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
     ClientRequest,
     ClientServer,
@@ -552,6 +552,8 @@
                 version=item.version,
                 offset=offset,
                 binding_in_ms=round(binding_in_s * 1000),
+                dated_by=self.operator_feed.dated_by,
+                source=self.operator_feed.delivery.source,
                 # Not declared as far as known, but possibly superseded by this version.
                 implied_by=None if item.version == declared.version else declared.version,
             )
@@ -569,6 +571,7 @@
                 model=declared.model,
                 version=declared.version,
                 binding_in_ms=round((binding_at - self.clock.now()) * 1000),
+                dated_by=DatedBy.SOURCE,
             )
 
     def _on_registration(self, record: KeyedRecord) -> None:
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -16,7 +16,6 @@
     Failure,
     KeyedLog,
     Outcome,
-    RecordBatch,
     SnapshotPage,
 )
 from fescuechute.net import HttpClient, HttpResult
@@ -53,8 +52,6 @@
     wait_s: float
     on_end: Callable[[Outcome], None]
     sources: list[RelayAddress]
-    #: Whether another source was tried before.
-    failed_over: bool = False
 
 
 class RelayedLog:
@@ -172,8 +169,6 @@
             else:
                 self._store_responded_at, self._read_era = self._now(), outcome.era
                 self._failing.discard(STORE)
-                if isinstance(outcome, RecordBatch) and call.failed_over:
-                    outcome = attrs.evolve(outcome, prompt=False)
                 call.on_end(outcome)
 
         if call.offset is None:
@@ -226,7 +221,7 @@
         if source not in self._failing:
             self._failing.add(source)
             self._on_source_failed(source.process_id, failure.reason)
-        call.wait_s, call.failed_over = 0.0, True
+        call.wait_s = 0.0
         if call.sources:
             self._try_next(call)
         else:
