--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -129,6 +129,8 @@
         # records were appended.
         sources = self._sources()
         sources.sort(key=lambda source: source == STORE)
+        if self._follows_readers():
+            sources.remove(STORE)
         self._start(_Call(topic, None, 0.0, on_end, sources))
 
     def read(
@@ -140,6 +142,15 @@
             wait_s = min(wait_s, self.timing.wait_s)
         self._start(_Call(topic, offset, wait_s, on_end, sources))
 
+    def _follows_readers(self) -> bool:
+        """Returns whether the readers of the region are given time to read a new era first.
+
+        Otherwise all processes of a region would read a snapshot from the store after each rise.
+        """
+        now = self._now()
+        is_new = now < self.eras.risen_at + self.timing.stale_s
+        return is_new and not self._selector.is_reader(now)
+
     def _start(self, call: _Call) -> None:
         self._latest, self._progress_at = call, None
         self._try_next(call)
@@ -174,7 +185,9 @@
         if call.offset is None:
             self._store.snapshot(call.topic, "", on_outcome)
         else:
-            wait_s = call.wait_s if self._store_waits else 0.0
+            # A relay is not current before the store has answered in the newest era.
+            waits = self._store_waits and self._read_era == self.eras.newest
+            wait_s = call.wait_s if waits else 0.0
             on_progress = partial(self._on_progress, call)
             self._store.read(call.topic, call.offset, wait_s, on_outcome, on_progress)
 
--- a/tests/relay/test_eras.py
+++ b/tests/relay/test_eras.py
@@ -8,7 +8,7 @@
 from fescuechute.feeds import Failure, KeyedRecord, RecordBatch, SnapshotPage
 from fescuechute.relay import RecordCache, decode_batch, encode_batch
 from fescuechute.relay._codec import encode_records
-from tests.relay.relay_harness import Reader, make_result
+from tests.relay.relay_harness import RELAYS, TIMING, Reader, make_result
 from tests.relay.test_relayed_log import Follower
 
 
@@ -66,6 +66,35 @@
     assert [record.position for record in reader.ask(0).batch.records] == [rec(1, 2).position]
 
 
+@pytest.mark.parametrize(
+    ("after_s", "calls"), [(0.0, 0), (TIMING.stale_s - 0.1, 0), (TIMING.stale_s, 1)]
+)
+def test_follower_lets_the_readers_read_a_new_era_first(after_s, calls):
+    """Guards against a region whose processes all read a snapshot from the store at once."""
+    follower = Follower()
+    follower.log.eras.observe(1, 0.0)
+    follower.log.eras.observe(2, follower.clock.time)
+    follower.clock.advance(after_s)
+    follower.log.snapshot("t", "", follower.outcomes.append)
+    for _ in RELAYS:
+        follower.answer(make_result(503))
+    assert (len(follower.outcomes), len(follower.store.calls)) == (1 - calls, calls)
+
+
+def test_reader_asks_the_store_without_waiting_first():
+    """Guards against relays that refuse their region for the wait of their first call in an era."""
+    reader = Reader()
+    reader.complete(SnapshotPage((), False, 5, era=1))
+    waits = []
+    for era in (1, 2, 2):
+        reader.eras.observe(era, reader.clock.time)
+        reader.log.read("t", 5, 9.0, lambda _outcome: None)
+        (_, _, wait_s), on_end, _ = reader.store.calls.pop()
+        waits.append(wait_s)
+        on_end(RecordBatch((), 5, era=era))
+    assert waits == [TIMING.wait_s, 0.0, TIMING.wait_s]
+
+
 # Relays.
 
 
