--- a/fescuechute/runtime/_process.py
+++ b/fescuechute/runtime/_process.py
@@ -15,7 +15,7 @@
 from circuits import BaseComponent, handler
 
 from fescuechute.errors import PlatformError, SettingsError
-from fescuechute.feeds import Feed, FeedSettings, KeyedLog, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, EraWatch, Feed, FeedSettings, KeyedLog, KeyedRecord
 from fescuechute.forwarding import ClientRequest, ClientServer, MemoryAccount
 from fescuechute.net import DatagramSocket, HttpClient, Loop, SystemClock
 from fescuechute.platform import StoreClient, load_node_settings
@@ -94,7 +94,13 @@
         for owner in (self.http, self.datagrams, self.metrics):
             self.loop.add(owner)
         _ExceptionReporter(self._log_exception).register(self.loop)
-        self.store = StoreClient(self.http, self.settings.store.address)
+        #: The newest era of the store that any reader of this process has seen.
+        self.eras = EraWatch(self._on_era_rise)
+        self.store = StoreClient(
+            self.http,
+            self.settings.store.address,
+            self._on_store_era,
+        )
         self.relays = RelayDirectory()
         cfg = self.settings
         self.source_selector = SourceSelector(
@@ -108,6 +114,7 @@
             RelayTiming.from_config_apply(cfg.service_levels.config_apply_s),
             self.clock.now,
             self._on_source_failed,
+            eras=self.eras,
         )
         #: The registry, read from the relays of the region or from the store.
         self.registry_log = RelayedLog(
@@ -118,6 +125,7 @@
             self.clock.now,
             self._on_source_failed,
             store_waits=False,
+            eras=self.eras,
         )
         self.stopping = False
         #: Unix seconds of the latest tick, None before the first.
@@ -181,6 +189,7 @@
             on_snapshot,
             on_state,
             self.rng,
+            self.eras,
         )
 
     def region_relays(self, now: float) -> list[RelayAddress]:
@@ -258,6 +267,12 @@
             self.store.set_address(settings.store.address)
             self.on_settings()
 
+    def _on_store_era(self, era: int) -> None:
+        self.eras.observe(era, self.clock.now(), STORE_SOURCE)
+
+    def _on_era_rise(self, previous: int, era: int, source: str) -> None:
+        self.telemetry.event("store.era", **{"from": previous, "to": era}, source=source)
+
     def _on_source_failed(self, source: str, reason: str) -> None:
         self.telemetry.event("source.failed", source=source, reason=reason)
 
