--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -50,6 +50,8 @@
     silent: bool = False
     #: Seconds from the first received byte to the end of the call.
     transfer_s: float = 0.0
+    #: Header fields of the response with names in lower case; empty if no response head arrived.
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
     @property
     def ok(self) -> bool:
@@ -91,6 +93,7 @@
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
     #: Whether the head declares a body that a response with its status does not have.
     lacks_body: bool = False
     body: bytearray = attrs.field(factory=bytearray)
@@ -278,6 +281,7 @@
                 if isinstance(event, h11.Response):
                     check_head(event)
                     call.status = event.status_code
+                    call.headers = tuple(event.headers)
                     call.lacks_body = call.status == 304 and declares_body(event)
                 elif isinstance(event, h11.InformationalResponse):
                     check_head(event)
@@ -326,7 +330,16 @@
         else:
             conn.close()
         transfer_s = 0.0 if call.first_byte_at is None else self._clock.now() - call.first_byte_at
-        call.on_end(HttpResult(call.status, bytes(call.body), "", True, transfer_s=transfer_s))
+        call.on_end(
+            HttpResult(
+                call.status,
+                bytes(call.body),
+                "",
+                True,
+                transfer_s=transfer_s,
+                headers=call.headers,
+            )
+        )
 
     def _on_closed(self, call: HttpCall, reason: str) -> None:
         if call.done:
@@ -347,4 +360,8 @@
         if call.conn is not None:
             call.conn.close()
         silent = reason == _REASON_SILENT
-        call.on_end(HttpResult(call.status, bytes(call.body), reason, call.sent, silent))
+        call.on_end(
+            HttpResult(
+                call.status, bytes(call.body), reason, call.sent, silent, headers=call.headers
+            )
+        )
--- a/fescuechute/platform/_records.py
+++ b/fescuechute/platform/_records.py
@@ -63,6 +63,21 @@
     return None if data_centre is None else Evacuation(data_centre)
 
 
+def operator_record_rank(key: str, value: bytes) -> int | None:
+    """Returns the version in a configuration or a declaration, which their writers never lower.
+
+    Returns:
+      The version; None for records of other kinds and for malformed ones.
+    """
+    if key != CONFIG_KEY and not is_version_declaration(key):
+        return None
+    try:
+        version: int = _decode(lambda body: _integer(body["version"]), key, value)
+    except PlatformError:
+        return None
+    return version
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decodes a configuration.
 
@@ -281,7 +296,7 @@
         running=_integer(body.get("active", 0)),
         kv_used_tokens=_integer(body.get("kv_used", 0)),
         kv_total_tokens=_integer(body.get("kv_total", 0)),
-        relative_step_time=_number(body.get("pace", 1.0)),
+        relative_step_time=_positive(body.get("pace", 1.0)),
         born_ms=_integer(body.get("born", 0)),
     )
 
