Pass on every replica in a new era, also one whose entry did not change

After a return of the store, followers would have lost all replicas that the copy left unchanged, and so refused every request of their region with 503 until the entries changed again.

Cause: a relay passes on only entries that change something for the gateway itself, but in a new era its cache starts empty; what came unchanged, or was refused as older, never entered it.

Change: a row knows in which era its entry was last passed on; one of an older era is passed on again. An older entry that changes nothing is passed on as well, one that does is not: followers then miss the replica until its next heartbeat.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -583,17 +583,23 @@
             self._on_entry_removed(record.key)
             return
         self._has_known_replicas = True
+        row = self.upstreams.get(entry.instance)
         if self.upstreams.is_outdated(entry):
             self.telemetry.count("registration.outdated")
+            if row is not None and entry == row.entry:
+                self._relay_registration(record, row)
             return
-        row = self.upstreams.get(entry.instance)
         previous = row.entry if row is not None else None
+        now = self.clock.now()
         # Heartbeats that change nothing are passed on only for a short time: a follower that has removed
         # the replica takes the first one that is newer than the entries it knew.
-        now = self.clock.now()
-        is_changed = row is None or entry != row.entry or row.changes_cold(entry, now)
-        if row is None or is_changed or row.expires_at is not None or row.is_recent(now):
-            self.registry_relay.add(record)
+        is_relayed = (
+            row is None
+            or entry != row.entry
+            or row.changes_cold(entry, now)
+            or row.expires_at is not None
+            or row.is_recent(now)
+        )
         if self.upstreams.register(entry, now) or (previous and previous.state is not entry.state):
             self.telemetry.event(
                 "upstream",
@@ -604,6 +610,8 @@
                 offset=record.offset,
             )
         known = self.upstreams.get(entry.instance)
+        if known is not None:
+            self._relay_registration(record, known, is_relayed)
         if known is not None and (previous is None or previous.address != entry.address):
             self._offer_relay(known, self.clock.now())
         if previous is None or previous.models != entry.models:
@@ -612,6 +620,14 @@
         if previous is not None and previous.address != entry.address:
             self.upstream_client.close_idle(entry.instance)
 
+    def _relay_registration(
+        self, record: KeyedRecord, row: UpstreamRow, is_relayed: bool = False
+    ) -> None:
+        """Passes an entry on to followers if they want it, or have none of the replica in its era."""
+        if is_relayed or row.relayed_era < record.era:
+            row.relayed_era = record.era
+            self.registry_relay.add(record)
+
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
         self.registry_relay.retain(keys)
         for row in list(self.upstreams):
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -117,6 +117,8 @@
     first_seen_at: float = float("-inf")
     restarted_at: float = float("-inf")
     unreachable_at: float = float("-inf")
+    #: Era in which the entry was last passed on to followers, -1 before.
+    relayed_era: int = -1
     #: Latest start time in unix milliseconds that a report showed before the registry did.
     restarted_born_ms: int = 0
 
--- a/tests/platform/test_gateway_records.py
+++ b/tests/platform/test_gateway_records.py
@@ -275,3 +275,35 @@
     assert len({item.appended_after for item in items}) == 1
     gateway.receive(RecordBatch((KeyedRecord(4, "evacuate/z", None, 1),), 5, era=1))
     assert not gateway.daemon.evacuations.is_evacuated("z")
+
+
+#: State and heartbeat count of a replica in the copy, after (ready, 9), and whether followers read it from
+#: this gateway in the new era before its next heartbeat.
+COPIES = {
+    "same entry": ("ready", 9, True),
+    "older entry without a change": ("ready", 8, True),
+    "older entry of another state": ("draining", 8, False),
+    "newer entry": ("ready", 10, True),
+}
+
+
+@pytest.mark.parametrize(("state", "sequence", "at_once"), COPIES.values(), ids=COPIES)
+def test_followers_read_each_replica_in_the_new_era(gateway, state, sequence, at_once):
+    """Guards against a region without replicas after a return of the store that changed none of them."""
+    daemon, log = gateway.daemon, ScriptedLog()
+    daemon.registry_feed._log = log
+    daemon.registry_relay.start(daemon.registry_feed)
+    for row_state, count, offset, era in (("ready", 9, 7, 0), (state, sequence, 3, 1)):
+        body = {"service": "lm", "address": "10.0.0.1:80", "zone": "z", "state": row_state}
+        value = json.dumps({**body, "born": 5, "sequence": count}).encode()
+        daemon._on_registration(KeyedRecord(offset, "i-1", value, era))
+        daemon.upstreams.get("i-1").first_seen_at = float("-inf")
+        daemon.registry_relay._cache.retain(frozenset({"i-1"}), 8, era)
+
+    def read():
+        return {cached.record.era for cached in daemon.registry_relay._cache.since(0)}
+
+    assert read() == ({1} if at_once else set())
+    value = json.dumps({**body, "state": "ready", "born": 5, "sequence": 11}).encode()
+    daemon._on_registration(KeyedRecord(9, "i-1", value, 1))
+    assert read() == {1}
