Take any entry of a replica whose entry had only expired

What callers would see: a gateway that was cut off sends nothing to a replica that lives, as long as its entry does not change. Cause: an entry that was merely missing after an outage or a return of the store was remembered like a withdrawn one, so that the older entry which a relay has cached was refused as outdated, and relays pass on no heartbeat that changes nothing. Change: only a withdrawn entry is remembered. Result: the new test fails without it in the case of the expired entry; tests/gateway passes.

--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -403,14 +403,16 @@
             if row.expires_at is not None and row.expires_at <= now
         ]
         for row in expired:
-            self._remove(row)
+            # Its entry is missing, which is no statement that it is gone: any later one is taken.
+            self._remove(row, is_gone=False)
         return expired
 
-    def _remove(self, row: UpstreamRow) -> None:
+    def _remove(self, row: UpstreamRow, *, is_gone: bool = True) -> None:
         del self._rows[row.instance]
         self._unindex(row)
         self._remember_load(row)
-        self._removed.add(row.entry)
+        if is_gone:
+            self._removed.add(row.entry)
 
     def record_leaving(self, row: UpstreamRow) -> bool:
         """Records that a replica stated that it is leaving; returns whether that is new.
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -286,3 +286,14 @@
     rows.register(entry(heartbeats=7))
     rows.register(entry(heartbeats=6, state=UpstreamState.DRAINING))
     assert rows.ready_replicas("lm")
+
+
+@pytest.mark.parametrize(("expires_at", "is_taken"), [(2.0, True), (None, False)])
+def test_replica_whose_entry_only_expired_comes_back_by_any_entry(expires_at, is_taken):
+    """Guards against a replica that is lost because a relay has cached one of its older entries."""
+    rows = table()
+    rows.register(entry(heartbeats=100))
+    rows.remove("i-1", expires_at=expires_at)
+    rows.expire(2.0)
+    rows.register(entry(heartbeats=3))
+    assert (rows.get("i-1") is not None) is is_taken
