Let calls of relays wait at the store for a shorter time

What callers see: since declarations are dated only by an earlier response, a version binds up to the wait of a call early, and requests are refused that an older version could still have served.

--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -188,6 +188,8 @@
             # A relay is not current before the store has answered in the newest era.
             waits = self._store_waits and self._read_era == self.eras.newest
             wait_s = call.wait_s if waits else 0.0
+            if self.relaying:
+                wait_s = min(wait_s, self.timing.store_wait_s)
             on_progress = partial(self._on_progress, call)
             self._store.read(call.topic, call.offset, wait_s, on_outcome, on_progress)
 
