Ask for no dates of versions below one that binds by its date

What callers would see: nothing; each gateway that starts while version 3 or a later one is declared asks a relay for all records each 0.5 s until the bound of versions has passed, on links that carry their requests. Change: such a version is not wanted. Result: the new test fails without it; tests/gateway passes.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -349,7 +349,7 @@
             return
         if self._dates_wanted_until is None:
             self._dates_wanted_until = now + self.versions.bound_s
-        if now < self._dates_wanted_until and self.versions.any_undated:
+        if now < self._dates_wanted_until and self.versions.any_undated(now):
             self.date_query.tick(now, self._other_relays(now))
 
     def _other_relays(self, now: float) -> list[RelayAddress]:
--- a/fescuechute/gateway/_versions.py
+++ b/fescuechute/gateway/_versions.py
@@ -97,15 +97,27 @@
                 return True
         return False
 
-    @property
-    def any_undated(self) -> bool:
-        """Whether a declaration is of unknown date, and so binds at once."""
+    def any_undated(self, now: float) -> bool:
+        """Returns whether a declaration binds only because its date is unknown.
+
+        One below a version that binds by its date forbids nothing more.
+        """
         return any(
             item.earliest_declared_at == float("-inf")
-            for declarations in self._declarations.values()
+            and item.version > self._dated_version(model, now)
+            for model, declarations in self._declarations.items()
             for item in declarations
         )
 
+    def _dated_version(self, model: str, now: float) -> int:
+        """Returns the newest version of known date that binds, 0 for none."""
+        dated = [
+            item.version
+            for item in self._declarations[model]
+            if item.earliest_declared_at > float("-inf") and now >= self._binding_at(item)
+        ]
+        return max(dated, default=0)
+
     def cancel_unstarted_at(self, model: str, version: int) -> float:
         """Returns the unix seconds at which requests not started on a version are cancelled."""
         binding_times = [
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -181,9 +181,9 @@
     """Guards against a gateway that refuses all requests after a restart during an outage of the store."""
     table = VersionTable(BOUND_S)
     table.declare("m", 3, float("-inf"), float("-inf"))
-    assert table.any_undated and table.required_version("m", 10.0) == 3
+    assert table.any_undated(10.0) and table.required_version("m", 10.0) == 3
     assert table.postpone("m", 3, 8.0) and table.postpone("m", 2, 6.0)
-    assert not table.any_undated
+    assert not table.any_undated(10.0)
     assert [table.required_version("m", now) for now in (10.0, 13.5, 15.5)] == [0, 2, 3]
 
 
@@ -203,3 +203,11 @@
     assert not table.postpone("m", version, declared_at)
     assert not table.postpone("other", 3, 20.0)
     assert table.required_version("m", 15.5) == 3
+
+
+def test_date_of_a_version_below_a_binding_one_is_not_wanted():
+    """Guards against a gateway that asks for all records again and again after each start."""
+    table = VersionTable(BOUND_S)
+    table.declare("m", 3, 0.0, float("-inf"))
+    assert table.any_undated(1.0)
+    assert not table.any_undated(BOUND_S)
