Let processes learn what the store has lost from relays that hear of the new era late

What callers would see after a return of the store: a gateway that starts serves by the copy, so it runs requests with revoked keys or on old versions, if its relays refused the one question or if it reads from a relay that learns of more later.

Change: relays are asked until they have answered, and told the era; a batch names what its relay keeps by a token, and a follower that has another one gets the records at once; a gateway that starts by a copy while it knows relays waits up to 1 s for an answer; versions left out before a kept record count from before the rise. In era 0 a batch has the form of earlier releases.

--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -210,7 +210,7 @@
             return
         self.earliest_appended_at = appended_after
         self.dated_by = DatedBy.SOURCE
-        self.earliest_omitted_at = self._undated_after()
+        self.earliest_omitted_at = self._confirmed_before_rise
         self.delivery = delivery
         self._on_record(record)
 
@@ -282,12 +282,11 @@
             self._snapshot_keys.clear()
         self._note_failure(outcome)
         self.delivery = outcome.delivery
-        self.earliest_omitted_at = undated = self._undated_after()
+        undated = self._undated_after()
         dates = outcome.appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            # A record that a relay kept may be older than anything that was confirmed since.
-            default = undated if record.era == outcome.era else None
-            self._date(appended_after_s, default, DatedBy.CONFIRMATION)
+            self.earliest_omitted_at = undated
+            self._date(record, outcome.era, appended_after_s, undated)
             self._snapshot_keys.add(record.key)
             self._on_record(record)
         if outcome.has_more and outcome.records:
@@ -302,13 +301,13 @@
     @_handle.register
     def _(self, outcome: RecordBatch) -> None:
         appended_at = self.earliest_appended_at = self._appended_after(outcome)
-        dated_by = self.dated_by
-        self.earliest_omitted_at = self._undated_after() if outcome.compacted else float("inf")
+        omitted_at = self._undated_after() if outcome.compacted else float("inf")
         self.delivery = outcome.delivery
         self._note_failure(outcome)
         dates = outcome.record_appended_after_s or (None,) * len(outcome.records)
         for record, appended_after_s in zip(outcome.records, dates, strict=True):
-            self._date(appended_after_s, appended_at, dated_by)
+            self.earliest_omitted_at = omitted_at
+            self._date(record, outcome.era, appended_after_s, appended_at)
             self._on_record(record)
             if record.era == outcome.era:
                 self._next_offset = record.offset + 1
@@ -318,14 +317,20 @@
             self._confirm(self._call_started_at + outcome.confirmed_after_s)
 
     def _date(
-        self, appended_after_s: float | None, default: float | None, dated_by: DatedBy
+        self, record: KeyedRecord, era: int, appended_after_s: float | None, default: float | None
     ) -> None:
-        """Dates the next record by its source, or by a default without a date of the source."""
+        """Dates a record by its source, or by a default without a date of the source.
+
+        A record of an older era than the response was kept by a relay. It, and what the log left out
+        before it, may be older than anything that was confirmed since the rise.
+        """
+        self.dated_by = DatedBy.CONFIRMATION if appended_after_s is None else DatedBy.SOURCE
+        if record.era < era:
+            self.earliest_omitted_at, default = self._confirmed_before_rise, None
         if appended_after_s is None:
-            self.earliest_appended_at, self.dated_by = default, dated_by
+            self.earliest_appended_at = default
         else:
             self.earliest_appended_at = self._call_started_at + appended_after_s
-            self.dated_by = DatedBy.SOURCE
 
     def _note_failure(self, outcome: SnapshotPage | RecordBatch) -> None:
         if outcome.failed_after_s is not None:
@@ -354,9 +359,7 @@
         Soon after a rise of the era, only a response from before it is a proof.
         """
         if outcome.appended_after_s is None:
-            self.dated_by = DatedBy.CONFIRMATION
             return self._undated_after()
-        self.dated_by = DatedBy.SOURCE
         return self._call_started_at + outcome.appended_after_s
 
     @_handle.register
--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -62,6 +62,8 @@
     appended_after_s: tuple[float | None, ...] = ()
     #: Era of the store as of the response; records of older eras were kept by a relay.
     era: int = 0
+    #: See `RecordBatch`.
+    kept_token: int = 0
 
 
 @attrs.frozen
@@ -83,8 +85,11 @@
     record_appended_after_s: tuple[float | None, ...] = ()
     #: Whether records without effect are left out, so that the next read starts at `end`.
     compacted: bool = False
-    #: Era of the store as of the response.
+    #: Era of the store as of the response; records of older eras were kept by a relay.
     era: int = 0
+    #: Stands for all records of older eras that the relay keeps, 0 without any; one that the next call
+    #: names is not sent again.
+    kept_token: int = 0
 
 
 @attrs.frozen
--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -63,6 +63,9 @@
 #: longest random time that is added.
 FIRST_READ_WAIT_S = 0.5
 FIRST_READ_SPREAD_S = 1.0
+#: Seconds for which a gateway that starts by a copy of the store waits until a relay has told what it
+#: keeps.
+KEPT_WAIT_S = 1.0
 #: Port at which the operators' records are passed on, counted from the peer port of the VM.
 RELAY_PORT_OFFSET = 3
 #: Share of the memory of the process that incomplete responses may take.
@@ -220,6 +223,8 @@
         self._was_ready = False
         #: Whether all records of the operators were read once; evacuations follow the configuration.
         self._has_read_operators = False
+        #: Unix seconds until which a gateway that has started waits for what the relays keep.
+        self._kept_wanted_until = float("-inf")
         #: Whether this gateway reads from the store, and the number of relays known in its region.
         self._relay_role = (False, 0)
 
@@ -240,7 +245,7 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send clients to this gateway."""
-        informed = self._has_read_operators and self.access.table is not None
+        informed = self._is_informed(self.clock.now()) and self.access.table is not None
         informed = informed and self._has_known_replicas
         return informed and self.registry_feed.has_read and not self.stopping
 
@@ -355,6 +360,21 @@
     def _other_relays(self, now: float) -> list[RelayAddress]:
         return [relay for relay in self.region_relays(now) if relay != self._relay_address]
 
+    def _ask_for_kept(self, era: int) -> None:
+        """Asks the relays for what a copy lacks; a gateway that starts serves by it only after that."""
+        now = self.clock.now()
+        if self._has_read_operators:
+            self.kept_query.start(era, now)
+            return
+        self.kept_query.start(era, now, spread_s=0.0)
+        if era and self._other_relays(now):
+            self._kept_wanted_until = now + KEPT_WAIT_S
+
+    def _is_informed(self, now: float) -> bool:
+        """Returns whether the operators' records have been read, and what a relay keeps if one is known."""
+        waits = now < self._kept_wanted_until and not self.kept_query.has_answer
+        return self._has_read_operators and not waits
+
     def _keep_records(self, now: float) -> None:
         """Asks the relays for what the store has lost; ends what was not written again in time."""
         if self.kept_query.is_asking(now):
@@ -411,7 +431,7 @@
         if now >= self._planned_stop.accept_until:
             self._deny(request, meta.request_id, Denied(Reason.NOT_READY, "stopping"), now)
             return
-        if not self._has_read_operators:
+        if not self._is_informed(now):
             denied = Denied(Reason.NOT_READY, "operators' records not read yet")
             self._deny(request, meta.request_id, denied, now)
             return
@@ -488,9 +508,9 @@
         end, era = self.operator_feed.next_offset or 0, self.operator_feed.era
         for key in self.relay_server.retain(keys):
             self.telemetry.event("record.kept", key=key, era=era)
-        self._has_read_operators = True
         if self.operator_feed.delivery.source == STORE_SOURCE:
-            self.kept_query.start(era, self.clock.now())
+            self._ask_for_kept(era)
+        self._has_read_operators = True
         names = [name for name in map(evacuated_data_centre, keys) if name is not None]
         for data_centre in self.evacuations.retain(names, end, self.clock.now(), era):
             self._on_evacuation(data_centre, "ended", end - 1)
--- a/fescuechute/relay/_cache.py
+++ b/fescuechute/relay/_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -54,6 +55,8 @@
         self.newest_offset = -1
         #: Increases with each change.
         self.generation = 0
+        #: Token of the kept records, and the generation for which it was computed.
+        self._token, self._token_generation = 0, 0
 
     def add(
         self, record: KeyedRecord, appended_after: float | None, superseded_ttl_s: float = 0.0
@@ -139,16 +142,34 @@
                 self.newest_offset = max(self.newest_offset, end - 1)
         return sorted(old.keys() - set(dropped))
 
-    def since(self, offset: int) -> list[CachedRecord]:
+    @property
+    def kept_token(self) -> int:
+        """Stands for the contents that are kept of older eras, 0 without any."""
+        if self._token_generation != self.generation:
+            self._token_generation = self.generation
+            kept = [
+                known.record for known in self._records.values() if known.record.era < self._era
+            ]
+            kept.sort(key=lambda record: record.key)
+            self._token = zlib.crc32(repr([(item.key, item.value) for item in kept]).encode())
+            self._token = (self._token or 1) if kept else 0
+        return self._token
+
+    def since(self, offset: int, *, with_kept: bool = False) -> list[CachedRecord]:
         """Returns the records from an offset of the newest era on, in the order of their positions.
 
-        From offset 0 on, those that are kept of older eras are included.
+        Those that are kept of older eras are included from offset 0 on, or on request.
         """
         known = [*self._records.values()]
         for superseded in self._superseded.values():
             known += [item.cached for item in superseded]
-        start = Position(self._era if offset else 0, offset)
-        found = [cached for cached in known if cached.record.position >= start]
+        start = Position(self._era, offset)
+        with_kept = with_kept or not offset
+        found = [
+            cached
+            for cached in known
+            if cached.record.position >= start or (with_kept and cached.record.era < self._era)
+        ]
         return sorted(found, key=lambda cached: cached.record.position)
 
     def _enter(self, era: int) -> None:
--- a/fescuechute/relay/_codec.py
+++ b/fescuechute/relay/_codec.py
@@ -36,8 +36,9 @@
     failed_after_s: float | None = None,
     record_appended_after_s: Sequence[float | None] = (),
     era: int = 0,
+    kept_token: int = 0,
 ) -> bytes:
-    """Returns a batch.
+    """Returns a batch, without its last fields in era 0, so that processes of earlier releases read it.
 
     Args:
       records: Result of `encode_records` for the same era.
@@ -48,11 +49,11 @@
       failed_after_s: The same for the last failure of the log; None without one.
       record_appended_after_s: What `appended_after_s` says of all records, for each of them.
       era: Era of the store in which the relay has read the records.
+      kept_token: Stands for the records of older eras that the relay keeps, 0 without any.
     """
     dates = list(record_appended_after_s)
-    return msgpack.packb(
-        (end, confirmed_after_s, appended_after_s, failed_after_s, dates, records, era)
-    )
+    fields = (end, confirmed_after_s, appended_after_s, failed_after_s, dates, records)
+    return msgpack.packb((*fields, era, kept_token) if era else fields)
 
 
 def decode_batch(data: bytes, source: str, transfer_s: float) -> RecordBatch:
@@ -62,11 +63,11 @@
       WireError: The data is no batch.
     """
     try:
-        # A batch without an era is of era 0.
+        # A batch without an era is of era 0 and keeps nothing.
         end, confirmed_after_s, appended_after_s, failed_after_s, dates, compressed, *rest = (
             msgpack.unpackb(data)
         )
-        (era,) = rest or (0,)
+        era, kept_token = rest or (0, 0)
         _check_era(era, MAX_ERA)
         inflater = zlib.decompressobj()
         rows = msgpack.unpackb(
@@ -88,6 +89,7 @@
             compacted=True,
             record_appended_after_s=tuple(_optional_seconds(date) for date in dates),
             era=era,
+            kept_token=_offset(kept_token),
         )
     except (ValueError, TypeError, zlib.error, msgpack.exceptions.UnpackException) as exc:
         raise WireError(
--- a/fescuechute/relay/_log.py
+++ b/fescuechute/relay/_log.py
@@ -16,6 +16,7 @@
     Failure,
     KeyedLog,
     Outcome,
+    RecordBatch,
     SnapshotPage,
 )
 from fescuechute.net import HttpClient, HttpResult
@@ -100,6 +101,8 @@
         #: Unix seconds at which the last part of the current response of the store arrived; None
         #: while none is being received.
         self._progress_at: float | None = None
+        #: Token of the kept records that the latest relay has sent.
+        self._kept_token = 0
         #: Unix seconds at which the store last responded; minus infinity after a failed call.
         self._store_responded_at = float("-inf")
 
@@ -211,8 +214,9 @@
         name = f"{relay.ip}:{relay.port}"
         # The feed reads anew as soon as an era is seen, so its offset is of the newest one.
         era = "" if self.eras.newest is None else f"&era={self.eras.newest}"
+        kept = f"&kept={self._kept_token}" if self._kept_token else ""
         path = (
-            f"{RECORDS_PATH}?topic={quote(call.topic)}&from={call.offset or 0}{era}"
+            f"{RECORDS_PATH}?topic={quote(call.topic)}&from={call.offset or 0}{era}{kept}"
             f"&wait_ms={call.wait_s * 1000:.0f}"
         )
 
@@ -224,6 +228,8 @@
                 self._on_failure(call, relay, outcome, responded=not result.error)
             else:
                 self._failing.discard(relay)
+                if isinstance(outcome, SnapshotPage | RecordBatch):
+                    self._kept_token = outcome.kept_token
                 call.on_end(outcome)
 
         timeout_s = call.wait_s + self.timing.silence_s
@@ -269,4 +275,5 @@
         batch.failed_after_s,
         tuple(date for _, date in present),
         batch.era,
+        batch.kept_token,
     )
--- a/fescuechute/relay/_query.py
+++ b/fescuechute/relay/_query.py
@@ -21,6 +21,7 @@
     topic: str,
     relay: RelayAddress,
     on_end: Callable[[RecordBatch | None], None],
+    era: int | None = None,
 ) -> None:
     """Requests the records of a topic without waiting for new ones.
 
@@ -29,6 +30,7 @@
       topic: Name of the topic.
       relay: The relay.
       on_end: Called once with the records, or with None if the call failed or was refused.
+      era: Newest era that this process has seen, of which the relay learns.
     """
 
     def on_result(result: HttpResult) -> None:
@@ -41,4 +43,6 @@
         on_end(batch)
 
     path = f"{RECORDS_PATH}?topic={quote(topic)}&from=0&wait_ms=0"
+    if era is not None:
+        path += f"&era={era}"
     http.call("GET", (relay.ip, relay.port), path, on_result, idle_timeout_s=TIMEOUT_S)
--- a/fescuechute/relay/_server.py
+++ b/fescuechute/relay/_server.py
@@ -30,6 +30,8 @@
     offset: int
     #: Era in which the caller has this offset.
     era: int
+    #: Token of the kept records that the caller has, 0 without any.
+    kept_token: int
     #: Unix seconds at which the call arrived, and at which it is answered without new records.
     arrived_at: float
     wait_until: float
@@ -68,9 +70,9 @@
         self._feed: Feed | None = None
         self._cache = RecordCache(rank)
         self._waiting: list[_WaitingCall] = []
-        #: Encoded records of the last response, by the first requested offset, the end offset and the
-        #: generation of the cache.
-        self._encoded: tuple[tuple[int, int, int], bytes] | None = None
+        #: Encoded records of the last response, by the first requested offset, whether kept ones
+        #: are included, the end offset and the generation of the cache.
+        self._encoded: tuple[tuple[int, bool, int, int], bytes] | None = None
         #: Whether calls are accepted.
         self._open = False
 
@@ -114,11 +116,14 @@
         fields = {name: values[0] for name, values in parse_qs(query).items()}
         try:
             offset, era = int(fields["from"]), int(fields.get("era", "0"))
+            kept_token = int(fields.get("kept", "0"))
             wait_s = min(int(fields.get("wait_ms", "0")) / 1000, _MAX_WAIT_S)
             if not 0 <= era <= MAX_ERA:
                 raise ValueError(f"era {era} is out of range")
         except (KeyError, ValueError):
-            message = b"Give `from`, `wait_ms` and `era` as whole numbers, `era` up to 2**53."
+            message = (
+                b"Give `from`, `wait_ms`, `kept` and `era` as whole numbers, `era` up to 2**53."
+            )
             request.response.send(400, [], message)
             return
         if path != RECORDS_PATH or fields.get("topic") != self._topic:
@@ -129,7 +134,7 @@
         # first must come from a source, or the answer of the store would be a rise.
         if self._log.eras.newest is not None:
             self._log.eras.observe(era, now, "follower")
-        self._waiting.append(_WaitingCall(request, offset, era, now, now + wait_s))
+        self._waiting.append(_WaitingCall(request, offset, era, kept_token, now, now + wait_s))
         self.tick(now)
 
     def tick(self, now: float) -> None:
@@ -151,7 +156,12 @@
     def _is_due(self, call: _WaitingCall, now: float) -> bool:
         assert self._feed is not None
         has_records = self._cache.newest_offset >= call.offset
-        return has_records or call.era < self._feed.era or now >= call.wait_until
+        is_due = has_records or call.era < self._feed.era or now >= call.wait_until
+        return is_due or self._lacks_kept(call)
+
+    def _lacks_kept(self, call: _WaitingCall) -> bool:
+        """Returns whether records are kept that the caller does not have."""
+        return self._cache.kept_token not in (0, call.kept_token)
 
     def _is_held(self, call: _WaitingCall, now: float) -> bool:
         """Returns whether a call of an older era waits until this relay has read anew."""
@@ -173,11 +183,12 @@
         era, end = self._feed.era, self._next_offset
         # An offset of an older era says nothing; the caller reads a snapshot when it sees the era.
         is_outdated = call.era < era and call.offset > 0
-        found = [] if is_outdated else self._cache.since(call.offset)
+        with_kept = self._lacks_kept(call)
+        found = [] if is_outdated else self._cache.since(call.offset, with_kept=with_kept)
         appended_after_s = _earliest(found)
         failed_at = self._feed.failed_at
         body = encode_batch(
-            encode_records([], era) if is_outdated else self._encode(call.offset, end, found),
+            encode_records([], era) if is_outdated else self._encode(call, with_kept, end, found),
             end,
             self._feed.confirmed_at - call.arrived_at,
             None if appended_after_s is None else appended_after_s - call.arrived_at,
@@ -187,13 +198,16 @@
                 for known in found
             ],
             era,
+            0 if is_outdated else self._cache.kept_token,
         )
         self._count("relay.responses")
         call.request.response.send(200, [(b"Content-Type", b"application/msgpack")], body)
 
-    def _encode(self, offset: int, end: int, found: list[CachedRecord]) -> bytes:
+    def _encode(
+        self, call: _WaitingCall, with_kept: bool, end: int, found: list[CachedRecord]
+    ) -> bytes:
         # Most processes of a region ask for the same records.
-        scope = (offset, end, self._cache.generation)
+        scope = (call.offset, with_kept, end, self._cache.generation)
         if self._encoded is None or self._encoded[0] != scope:
             assert self._feed is not None
             records = (known.record for known in found)
--- a/tests/feeds/test_feed_eras.py
+++ b/tests/feeds/test_feed_eras.py
@@ -236,3 +236,24 @@
     reader.answer(page(end=5, era=era))
     reader.answer(RecordBatch((rec(5, era=era),), 6, era=era), after_s=0.05)
     assert reader.bounds == [bound]
+
+
+@pytest.mark.parametrize("through", ["a later question", "a snapshot", "a batch"])
+def test_what_was_left_out_before_a_kept_record_is_older_than_the_rise(through):
+    """Guards against the bound of a superseded version that counts from the new era."""
+    reader, omitted = Reader(), []
+    reader.feed._on_record = lambda _record: omitted.append(reader.feed.earliest_omitted_at)
+    reader.rise()
+    if through == "a snapshot":
+        reader.answer(page(rec(4, era=1)))
+    else:
+        reader.answer(page())
+        # Long after the rise, when the feed has confirmed the new era.
+        for _ in range(9):
+            reader.now += 1.0
+            reader.answer(RecordBatch((), 5, era=2))
+        if through == "a batch":
+            reader.answer(RecordBatch((rec(8, era=1),), 5, RELAY, compacted=True, era=2))
+        else:
+            reader.feed.apply_kept(rec(8, era=1), 104.0, RELAY)
+    assert omitted == [100.0]
--- a/tests/relay/test_eras.py
+++ b/tests/relay/test_eras.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fescuechute.errors import WireError
-from fescuechute.feeds import Failure, KeyedRecord, RecordBatch, SnapshotPage
+from fescuechute.feeds import Delivery, Failure, KeyedRecord, RecordBatch, SnapshotPage
 from fescuechute.relay import RecordCache, decode_batch, encode_batch
 from fescuechute.relay._codec import encode_records
 from tests.relay.relay_harness import RELAYS, TIMING, Reader, make_result
@@ -221,3 +221,22 @@
     with pytest.raises(WireError):
         kept = attrs.evolve(COPY, era=era)
         decode_batch(encoded(kept, era=5).body, "relay", 0.0)
+
+
+def test_follower_gets_what_its_relay_learns_after_the_snapshot():
+    """Guards against a region that serves by the copy although one relay has learned of more."""
+    reader = Reader(rank=rank)
+    reader.complete(SnapshotPage((rec(1, 2, b"7"),), False, 4, era=2))
+    call = "/records?topic=t&from=4&era=2&wait_ms=500"
+    waiting = reader.send(call)
+    assert waiting.status is None
+    reader.feed.apply_kept(rec(9, 1, b"9"), None, Delivery())
+    reader.server.tick(reader.clock.time)
+    batch = waiting.batch
+    assert ([record.value for record in batch.records], batch.end) == ([b"9"], 4)
+    assert reader.send(f"{call}&kept={batch.kept_token}").status is None
+
+
+def test_batch_of_the_first_era_is_one_of_earlier_releases():
+    """Guards against followers of an earlier release that must all read from the store."""
+    assert len(msgpack.unpackb(encode_batch(encode_records([]), 1, 0.0, None))) == 6
