--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -174,8 +174,8 @@
         has_model: bool = False,
         service: dict[str, Any] | None = None,
         **changes: Any,
-    ) -> None:
-        """Writes a new version of the configuration; added routes are `/added0/` and so on.
+    ) -> int:
+        """Writes a new version of the configuration and returns it; added routes are `/added0/` and so on.
 
         With a model, there is a route to its engines at `MODEL_PATH`. `service` changes the service of
         the other routes, `changes` the routes.
@@ -211,6 +211,7 @@
             "tenants": [{"name": "taller", "api_keys": list(keys)}],
         }
         self.put_record("keyed.op", "config", body)
+        return self._version
 
     def put_record(self, topic: str, key: str, value: dict[str, Any]) -> None:
         call_standin(self.store.port, "PUT", f"/records/{topic}/{key}", value)
