--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -4,12 +4,16 @@
 Faults: `delay_s` before each response, `fail_next` (the next n requests get a 500), `refuse_next` (the
 next n requests are not executed and get a 503), `cut_next` (the next n streams are reset after their
 first event), `pause_s` between events.
-`GET /runs` lists the ids and header fields of the executed requests.
+`GET /runs` lists the ids and header fields of the executed requests. `--runs-file` names a file that gets
+a line with the id and the unix seconds of each, which outlives a kill.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
+import time
+from pathlib import Path
 from typing import Any
 
 from aiohttp import web
@@ -24,10 +28,11 @@
 class Replica:
     """Answers requests and records those that it executed."""
 
-    def __init__(self, faults: Faults, instance: str, events: int):
+    def __init__(self, faults: Faults, instance: str, events: int, runs_file: Path | None):
         self._faults = faults
         self._instance = instance
         self._events = events
+        self._runs_file = runs_file
         self._runs: list[dict[str, Any]] = []
 
     async def answer(self, request: web.Request) -> web.StreamResponse:
@@ -42,6 +47,10 @@
             headers["X-Fescuechute-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
         self._runs.append({"id": headers[_REQUEST_ID], "headers": dict(request.headers)})
+        if self._runs_file is not None:
+            line = json.dumps({"id": headers[_REQUEST_ID], "at": time.time()})
+            with self._runs_file.open("a") as file:
+                print(line, file=file)
         headers["X-Fescuechute-Response-Seal"] = f"seal.{headers[_REQUEST_ID]}"
         await asyncio.sleep(self._faults["delay_s"])
         if self._faults.consume("fail_next"):
@@ -76,9 +85,10 @@
     parser = make_parser(__doc__)
     parser.add_argument("--instance", required=True)
     parser.add_argument("--events", type=int, default=5)
+    parser.add_argument("--runs-file", type=Path)
     args = parser.parse_args()
     faults = Faults(delay_s=0.0, fail_next=0, refuse_next=0, cut_next=0, pause_s=0.0)
-    replica = Replica(faults, args.instance, args.events)
+    replica = Replica(faults, args.instance, args.events, args.runs_file)
     app = make_app(faults, ())
     app.router.add_get("/runs", replica.runs)
     app.router.add_route("*", "/{path:.+}", replica.answer)
