Let the soak find replicas that a gateway gives up although they live

What callers would see: 503 at the followers of a region some 2 s after a return, as test_older_configuration_of_the_copy_is_not_served found on: front-3 logged upstream.gone (lapsed) for all three replicas and answered no_upstream. No check of the soak looked at replicas, and with two gateways in a region both read the store. Change: a finding for each upstream.gone of a replica whose process lived, and three gateways in each region by default.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -83,6 +83,30 @@
     return findings
 
 
+def check_replicas(
+    process: str,
+    lines: Iterable[Mapping[str, Any]],
+    down: Mapping[str, Sequence[tuple[float, float]]],
+) -> list[Finding]:
+    """Finds replicas that a gateway gave up although they lived and sent heartbeats.
+
+    Args:
+      process: Name of the gateway.
+      lines: Its log.
+      down: For each replica, the unix seconds from each end of its process to those at which the store
+        is sure to have its entry again.
+    """
+    findings = []
+    for line in lines:
+        if line.get("event") != "upstream.gone":
+            continue
+        name, at = line["upstream"], float(line["at"])
+        if not any(start <= at <= end for start, end in down.get(name, ())):
+            text = f"{process} gave up {name}, which lived: {line.get('reason')}"
+            findings.append(Finding("replica given up", at, text))
+    return findings
+
+
 def check_log(process: str, lines: Sequence[Mapping[str, Any]]) -> list[Finding]:
     """Finds older configurations that a process applied after newer ones, and faults."""
     findings, newest = [], 0
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 import time
+from collections import defaultdict
 from typing import Any
 
 from soak._operator import Operator, Registry, parse_lines, put
@@ -21,6 +22,8 @@
 _ZONES = {"z": "r", "z2": "r2"}
 #: Seconds from SIGTERM to the end of a process, `grace_s` of the settings and one for the start of its end.
 _GRACE_S = 9.0
+#: Seconds from the ready line of a replica within which the store has its entry, which a return may lose.
+_REGISTRATION_S = 4.0
 
 
 class Node:
@@ -79,6 +82,8 @@
         self.gateway_ips = {f"gateway-{n}": next(ips) for n in range(options.gateways)}
         self.nodes: dict[str, Node] = {}
         self._born_ms: dict[str, int] = {}
+        #: Unix seconds from each end of a process until others may count on it again, by name.
+        self.down: dict[str, list[tuple[float, float]]] = defaultdict(list)
 
     def start(self) -> None:
         """Starts everything and writes the first records."""
@@ -114,12 +119,16 @@
         node = self.nodes[name]
         if not node.lock.acquire(blocking=False):
             return False
+        ended_at = time.time()
         try:
             node.end(number)
             time.sleep(down_s)
             self._born_ms[name] = round(time.time() * 1000)
             node.start()
+            if name.startswith("replica"):
+                node.process.wait_ready()
         finally:
+            self.down[name].append((ended_at, time.time() + _REGISTRATION_S))
             node.lock.release()
         return True
 
--- a/soak/_options.py
+++ b/soak/_options.py
@@ -14,7 +14,8 @@
     seed: int
     #: Seconds in which disturbances begin.
     seconds: float = 30.0
-    gateways: int = 4
+    #: Two of a region read the store, the others follow them.
+    gateways: int = 6
     replicas: int = 4
     engines: int = 2
     #: Directory that keeps the logs of a play with findings; None leaves them where they are.
--- a/soak/_player.py
+++ b/soak/_player.py
@@ -13,7 +13,14 @@
 
 import attrs
 
-from soak._checks import check_answers, check_keys, check_log, check_runs, check_versions
+from soak._checks import (
+    check_answers,
+    check_keys,
+    check_log,
+    check_replicas,
+    check_runs,
+    check_versions,
+)
 from soak._clients import Client, send
 from soak._deployment import Deployment
 from soak._operator import parse_lines
@@ -185,6 +192,7 @@
             for process in node.processes:
                 lines = parse_lines(process.stdout.read_text())
                 self.findings += check_log(process.name, lines)
+                self.findings += check_replicas(process.name, lines, self.deployment.down)
                 if "Traceback" in (text := process.stderr.read_text()):
                     self._find("fault", f"{process.name}: {text[-2000:]}")
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,7 +3,14 @@
 import pytest
 
 from soak import Options
-from soak._checks import check_answers, check_keys, check_log, check_runs, check_versions
+from soak._checks import (
+    check_answers,
+    check_keys,
+    check_log,
+    check_replicas,
+    check_runs,
+    check_versions,
+)
 from soak._plan import draw_plan
 from soak._records import Attempt, Operators, Run
 
@@ -69,6 +76,12 @@
     assert [finding.rule for finding in check_log("gateway-0.0", log)] == rules
 
 
+@pytest.mark.parametrize(("at", "broken"), [(9.9, True), (11.0, False), (12.1, True)])
+def test_replica_that_lives_is_not_given_up(at, broken):
+    line = {"event": "upstream.gone", "upstream": "replica-0", "at": at}
+    assert bool(check_replicas("gateway-0", [line], {"replica-0": [(10.0, 12.0)]})) == broken
+
+
 def test_plan_is_that_of_its_seed():
     """Guards against findings that cannot be played again."""
     assert draw_plan(Options(7)) == draw_plan(Options(7)) != draw_plan(Options(8))
