--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -6,7 +6,7 @@
 
 from fescuechute.catalog import Configuration, Evacuation, VersionDeclaration
 from fescuechute.errors import Problem, Reason, SettingsError, refusal
-from fescuechute.feeds import DatedBy, FeedSettings, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, DatedBy, FeedSettings, KeyedRecord
 from fescuechute.forwarding import (
     ClientRequest,
     ClientServer,
@@ -36,10 +36,12 @@
     evacuated_data_centre,
     is_operator_record,
     is_version_declaration,
+    operator_record_rank,
 )
 from fescuechute.relay import (
     DateQuery,
     FirstRead,
+    KeptQuery,
     RelayAddress,
     RelayAnnouncer,
     RelayRouter,
@@ -73,6 +75,8 @@
 MAX_CHECK_CONNECTIONS = 64
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
+#: Share of the age that is allowed to keys for which a return of the store does not confirm them.
+SETTLING_SHARE = 0.4
 
 
 class GatewayDaemon(Process):
@@ -162,7 +166,12 @@
         )
         self.operator_log.relaying = True
         self.relay_server = RelayServer(
-            Topic.OPERATORS, self.operator_log, now, count, self._superseded_ttl_s
+            Topic.OPERATORS,
+            self.operator_log,
+            now,
+            count,
+            self._superseded_ttl_s,
+            operator_record_rank,
         )
         self.registry_log.relaying = True
         self.registry_relay = RelayServer(Topic.REGISTRY, self.registry_log, now, count)
@@ -183,7 +192,11 @@
             self.datagrams.send,
         )
         self.operator_feed = self.make_feed(
-            FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
+            FeedSettings(
+                Topic.OPERATORS,
+                OPERATORS_LONG_POLL_S,
+                settle_s=_settle_s(cfg.service_levels.revoke_s),
+            ),
             self._on_operator_record,
             self._on_operator_snapshot,
             self.operator_log,
@@ -195,6 +208,9 @@
             self.registry_log,
         )
         self.date_query = DateQuery(Topic.OPERATORS, self.http, self._on_record_date)
+        self.kept_query = KeptQuery(
+            Topic.OPERATORS, self.http, self.eras, self.operator_feed.apply_kept, self.rng
+        )
         #: Unix seconds until which relays are asked for dates, None before the first complete read.
         self._dates_wanted_until: float | None = None
         self._first_read = FirstRead(now(), FIRST_READ_WAIT_S, FIRST_READ_SPREAD_S, self.rng)
@@ -226,7 +242,7 @@
         """Whether the load balancer should send clients to this gateway."""
         informed = self._has_read_operators and self.access.table is not None
         informed = informed and self._has_known_replicas
-        return informed and self.registry_feed.complete and not self.stopping
+        return informed and self.registry_feed.has_read and not self.stopping
 
     # Callbacks of the process.
 
@@ -241,6 +257,7 @@
         )
         self.registry_feed.tick(now)
         self._ask_for_dates(now)
+        self._keep_records(now)
         for row in self.upstreams.expire(now):
             self._on_upstream_gone(row.instance, "lapsed")
         self._relay_records(now)
@@ -268,6 +285,7 @@
         service_levels = self.settings.service_levels
         self.access.max_configuration_age_s = service_levels.revoke_s
         self.versions.bound_s = service_levels.version_switch_s
+        self.operator_feed.set_settling(_settle_s(service_levels.revoke_s))
 
     def on_datagram(self, sender: tuple[str, int], msg: Message) -> None:
         """Records the relays of the region; passes on reports of crashes and of loads."""
@@ -332,8 +350,19 @@
         if self._dates_wanted_until is None:
             self._dates_wanted_until = now + self.versions.bound_s
         if now < self._dates_wanted_until and self.versions.any_undated:
-            others = [relay for relay in self.region_relays(now) if relay != self._relay_address]
-            self.date_query.tick(now, others)
+            self.date_query.tick(now, self._other_relays(now))
+
+    def _other_relays(self, now: float) -> list[RelayAddress]:
+        return [relay for relay in self.region_relays(now) if relay != self._relay_address]
+
+    def _keep_records(self, now: float) -> None:
+        """Asks the relays for what the store has lost; ends what was not written again in time."""
+        if self.kept_query.is_asking(now):
+            self.kept_query.tick(now, self._other_relays(now))
+        feed = self.operator_feed
+        if feed.complete and now >= self.eras.kept_until:
+            for data_centre in self.evacuations.expire(feed.era, now):
+                self._on_evacuation(data_centre, "lapsed", None)
 
     def _may_read_operators(self, now: float) -> bool:
         """Returns whether to read the operators' records; the first read waits for relays for a time.
@@ -446,24 +475,27 @@
             self._apply_version_declaration(decoded, record.offset)
         elif isinstance(decoded, Evacuation):
             now, source = self.clock.now(), self.operator_feed.delivery.source
-            if self.evacuations.start(decoded.data_centre, record.offset, now, source):
+            if self.evacuations.start(decoded.data_centre, record.offset, now, source, record.era):
                 self._on_evacuation(decoded.data_centre, "started", record.offset)
         elif record.value is None:
             data_centre = evacuated_data_centre(record.key)
             if data_centre is not None and self.evacuations.end(
-                data_centre, record.offset, self.clock.now()
+                data_centre, record.offset, self.clock.now(), record.era
             ):
                 self._on_evacuation(data_centre, "ended", record.offset)
 
     def _on_operator_snapshot(self, keys: frozenset[str]) -> None:
-        self.relay_server.retain(keys)
+        end, era = self.operator_feed.next_offset or 0, self.operator_feed.era
+        for key in self.relay_server.retain(keys):
+            self.telemetry.event("record.kept", key=key, era=era)
         self._has_read_operators = True
-        end = self.operator_feed.next_offset or 0
+        if self.operator_feed.delivery.source == STORE_SOURCE:
+            self.kept_query.start(era, self.clock.now())
         names = [name for name in map(evacuated_data_centre, keys) if name is not None]
-        for data_centre in self.evacuations.retain(names, end, self.clock.now()):
+        for data_centre in self.evacuations.retain(names, end, self.clock.now(), era):
             self._on_evacuation(data_centre, "ended", end - 1)
 
-    def _on_evacuation(self, data_centre: str, change: str, offset: int) -> None:
+    def _on_evacuation(self, data_centre: str, change: str, offset: int | None) -> None:
         """Places requests anew that have not been sent, and greets the engines that are near now."""
         appended_at = self.operator_feed.earliest_appended_at
         self.telemetry.event(
@@ -551,12 +583,16 @@
             self._on_entry_removed(record.key)
             return
         self._has_known_replicas = True
+        if self.upstreams.is_outdated(entry):
+            self.telemetry.count("registration.outdated")
+            return
         row = self.upstreams.get(entry.instance)
         previous = row.entry if row is not None else None
-        # Heartbeats that change nothing are not passed on.
+        # Heartbeats that change nothing are passed on only for a short time: a follower that has removed
+        # the replica takes the first one that is newer than the entries it knew.
         now = self.clock.now()
         is_changed = row is None or entry != row.entry or row.changes_cold(entry, now)
-        if row is None or is_changed or row.expires_at is not None:
+        if row is None or is_changed or row.expires_at is not None or row.is_recent(now):
             self.registry_relay.add(record)
         if self.upstreams.register(entry, now) or (previous and previous.state is not entry.state):
             self.telemetry.event(
@@ -601,3 +637,8 @@
     def _on_upstream_gone(self, instance: str, reason: str) -> None:
         self.upstream_client.close_idle(instance)
         self.telemetry.event("upstream.gone", upstream=instance, reason=reason)
+
+
+def _settle_s(revoke_s: float | None) -> float:
+    """Returns the settling time in seconds for an age that is allowed to keys, None for any age."""
+    return 0.0 if revoke_s is None else SETTLING_SHARE * revoke_s
