--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -21,6 +21,8 @@
 DROPPED_PATH = "/added0/x"
 #: Seconds for which replicas may take to register again, of PROTOCOL.md.
 REGISTRATION_S = 2.0
+#: Seconds after which a replica is no longer new to a gateway; longer than some heartbeats.
+SETTLED_S = 6.0
 
 
 @pytest.fixture
@@ -65,6 +67,12 @@
         return 0
 
 
+def knows_all_for(deployment, gateway, seconds):
+    """Returns whether a gateway has not learned of any replica for some seconds."""
+    lines = [line for line in deployment.log_lines(gateway) if line["event"] == "upstream"]
+    return bool(lines) and time.time() - lines[-1]["at"] > seconds
+
+
 def assert_taken_away(deployment, gateway):
     """Checks that a gateway serves neither the revoked key nor the dropped route."""
     assert status(deployment, gateway, key=REVOKED_KEY) in (0, 401, 503)
@@ -73,7 +81,11 @@
 
 @pytest.mark.parametrize("restarted", [None, 2])
 def test_older_configuration_of_the_copy_is_not_served(region, restarted):
-    """Guards against revoked keys and dropped routes that the copy brings back."""
+    """Guards against revoked keys and dropped routes that the copy brings back.
+
+    Guards also against replicas that followers lose because their entries are the same as before.
+    """
+    wait_until(lambda: all(knows_all_for(region, n, SETTLED_S) for n in range(GATEWAYS)))
     configure(region, keys=("k1", REVOKED_KEY), added_routes=1)
     assert is_in_force(region, 0, DROPPED_PATH)
     take_copy(region)
