Let the log stand-in return from a copy

Tests could play an outage of the log service, but not its return from a copy: what it had acknowledged stayed, and offsets were never given out twice. The stand-in now has POST /return (age_s, away_s), the era in each JSON answer, 410 above its end, and answer_delay_s, which lets an append of the old era be answered late.

--- a/tests/standins/test_standin_log.py
+++ b/tests/standins/test_standin_log.py
@@ -3,9 +3,12 @@
 A fault without effect would let the fault tests of other packages pass without testing anything.
 """
 
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
-from tests.harness import HttpFailedError, http_json, set_faults, start_log
+from tests.harness import HttpFailedError, http_json, set_faults, start_log, wait_until
 
 
 def append_records(port, *record_ids, stream="notes"):
@@ -101,6 +104,34 @@
     assert read_records(port)[1]["next"] == statuses.count(200)
 
 
+def test_return_gives_out_offsets_again_and_raises_the_era(port):
+    """Without a lost stretch, tests of returns would only exercise an outage."""
+    append_records(port, "a")
+    time.sleep(0.06)
+    append_records(port, "b", "c")
+    assert http_json("POST", port, "/return", {"age_s": 0.04, "away_s": 0.0}) == (200, {"era": 1})
+    status, response = read_records(port, "?from=3")
+    assert (status, response["era"]) == (410, 1)
+    response = append_records(port, "d")[1]
+    assert (response["first"], response["era"]) == (1, 1)
+    response = read_records(port)
+    assert (record_ids(response), response[1]["era"]) == (["a", "d"], 1)
+    set_faults(port, down=True)
+    assert append_records(port, "e")[1]["era"] == 1
+    assert http_json("POST", port, "/return", {"age_s": -1, "away_s": 0})[0] == 400
+
+
+def test_append_answered_after_a_return_carries_its_era(port):
+    """An answer with the newer era would report a lost record as written."""
+    set_faults(port, answer_delay_s=0.5)
+    with ThreadPoolExecutor(1) as executor:
+        appended = executor.submit(append_records, port, "a")
+        wait_until(lambda: record_ids(read_records(port)) == ["a"], 5, "the append's effect")
+        http_json("POST", port, "/return", {"age_s": 5, "away_s": 0})
+        assert appended.result()[1]["era"] == 0
+    assert record_ids(read_records(port)) == []
+
+
 @pytest.mark.parametrize(
     "faults",
     [
