Keep bookings at most once when the log returns from a copy

What callers would see: a booking that ran, whose claim the log lost when it came back from a copy some seconds old, was claimed and run again when its caller retried it at any entry. An entry whose offset lay above the new end read nothing more, or took records of the new stretch for the continuation of the lost one. A lookup called a key unused whose claim was lost.

Cause: positions, claims and answers had no era, and a view counted as complete since offset 0.

Change: reads, appends and failures carry the era. A rise starts all partitions anew at offset 0; the view is complete only for keys created after the return, bounded by the first answer of the era and by an EraRecord in the partition, which is renewed before retention can remove it. An outcome may now precede its claim in an era above 0.

The history checker skips era records.

--- a/fescuechute/claims/__init__.py
+++ b/fescuechute/claims/__init__.py
@@ -28,6 +28,7 @@
 from fescuechute.claims._keys import Key, Scope, check_age, partition_of
 from fescuechute.claims._records import (
     ClaimRecord,
+    EraRecord,
     LogRecord,
     OutcomeRecord,
     ReleaseRecord,
@@ -47,6 +48,7 @@
     "ClaimTable",
     "ClaimsView",
     "Command",
+    "EraRecord",
     "Key",
     "LogRecord",
     "OutcomeRecord",
--- a/fescuechute/claims/_commands.py
+++ b/fescuechute/claims/_commands.py
@@ -32,6 +32,8 @@
     from_offset: int
     #: Maximum number of records to request.
     limit: int
+    #: Era of the log to which the offset belongs.
+    era: int = 0
 
 
 @attrs.frozen
--- a/fescuechute/claims/_queue.py
+++ b/fescuechute/claims/_queue.py
@@ -57,6 +57,9 @@
         self._batch_count = 0
         self._next_append_at = 0.0
         self._batch_in_log = False
+        #: The batch was issued in an earlier era, so that its answer does not show that the log
+        #: contains it.
+        self._batch_outdated = False
         self.reading_back = False
 
     def __len__(self) -> int:
@@ -67,6 +70,11 @@
         """Queues a record."""
         self._queue.append(PendingRecord(record, now))
 
+    def start_era(self) -> None:
+        """Requires the append in flight to be read back in a new era of the log."""
+        self._batch_outdated = bool(self._batch)
+        self._batch_in_log = False
+
     def next_batch(self, now: float) -> AppendBatch | None:
         """Returns the next batch if one is due and no append is in flight.
 
@@ -91,9 +99,16 @@
         return AppendBatch(self.number, self._batch_id, records)
 
     def complete(self, batch_id: str) -> tuple[PendingRecord, ...]:
-        """Ends the append in flight and returns its records, or nothing for any other batch."""
+        """Ends the append in flight and returns its records.
+
+        Returns nothing for any other batch, and for one that was issued in an earlier era: it may
+        be lost, so it is read back first.
+        """
         if batch_id != self._batch_id:
             return ()
+        if self._batch_outdated and not self._batch_in_log:
+            self._read_back()
+            return ()
         return self._clear_batch()
 
     def fail(self, batch_id: str, certain_not_applied: bool, now: float) -> None:
@@ -111,9 +126,7 @@
         if certain_not_applied:
             self._requeue_batch()
             return
-        self.reading_back = True
-        for pending in self._batch:
-            pending.maybe_applied = True
+        self._read_back()
 
     def match_records(self, records: Iterable[Mapping[str, Any]]) -> tuple[PendingRecord, ...]:
         """Returns the records of the append in flight if the records read contain any of them.
@@ -153,10 +166,16 @@
                 return in_flight or pending.maybe_applied
         return True
 
+    def _read_back(self) -> None:
+        self.reading_back = True
+        for pending in self._batch:
+            pending.maybe_applied = True
+
     def _clear_batch(self) -> tuple[PendingRecord, ...]:
         batch, self._batch = self._batch, ()
         self._batch_id = ""
         self._batch_in_log = False
+        self._batch_outdated = False
         self.reading_back = False
         return batch
 
--- a/fescuechute/claims/_records.py
+++ b/fescuechute/claims/_records.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+import math
+from typing import Any, TypeGuard
 
 import attrs
 
@@ -121,15 +122,64 @@
         return cls(_require_text(data, "claim_id"), _require_text(data, "holder"))
 
 
-LogRecord = ClaimRecord | OutcomeRecord | ReleaseRecord
+@attrs.frozen
+class EraRecord:
+    """States that the log returned from a copy and bounds the time of that return."""
+
+    #: Era that began with the return.
+    era: int
+    #: Upper bound of the time of the return by the log's clock, unix seconds.
+    returned_by: float
+    #: Process that appended the record.
+    holder: str
+    #: Number of the record among those of its holder and partition.
+    number: int
+
+    @property
+    def record_id(self) -> str:
+        """Id of the log record."""
+        return f"{self.holder}/era/{self.number}"
 
-_RECORD_TYPES: dict[str, type[ClaimRecord] | type[OutcomeRecord] | type[ReleaseRecord]] = {
+    def to_data(self) -> dict[str, Any]:
+        """Returns the JSON object of the log record."""
+        return {
+            "type": "era",
+            "era": self.era,
+            "returned_by": self.returned_by,
+            "holder": self.holder,
+            "number": self.number,
+        }
+
+    @classmethod
+    def from_data(cls, data: dict[str, Any]) -> EraRecord:
+        """Parses the JSON object of a log record, or raises `ValueError`."""
+        era, returned_by, number = data.get("era"), data.get("returned_by"), data.get("number")
+        if type(era) is not int or era < 1:
+            raise ValueError(f"era is {era!r:.100}, expected an integer of 1 or more.")
+        if not is_timestamp(returned_by):
+            raise ValueError(f"returned_by is {returned_by!r:.100}, expected unix seconds.")
+        if type(number) is not int:
+            raise ValueError(f"number is {number!r:.100}, expected an integer.")
+        return cls(era, returned_by, _require_text(data, "holder"), number)
+
+
+LogRecord = ClaimRecord | OutcomeRecord | ReleaseRecord | EraRecord
+
+_RECORD_TYPES: dict[
+    str, type[ClaimRecord] | type[OutcomeRecord] | type[ReleaseRecord] | type[EraRecord]
+] = {
     "claim": ClaimRecord,
     "outcome": OutcomeRecord,
     "release": ReleaseRecord,
+    "era": EraRecord,
 }
 
 
+def is_timestamp(value: object) -> TypeGuard[float]:
+    """Whether a value read from the log is a valid time."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+
+
 def holder_of(claim_id: str) -> str:
     """Returns the holder that made a claim, which `ClaimTable` puts in front of its claim ids."""
     return claim_id.rpartition("/")[0]
--- a/fescuechute/claims/_settings.py
+++ b/fescuechute/claims/_settings.py
@@ -42,3 +42,6 @@
     #: How long scopes stay in memory after their window has ended, so that a process whose clock is
     #: behind the log's still finds them.
     margin_s: float = 60.0
+    #: Interval between batches of records that are appended again after the log returned from a
+    #: copy. The first batch of a process is delayed by a part of it.
+    restore_interval_s: float = 1.0
--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 from fescuechute.claims._calls import MAY_HAVE_RUN, Call, CallState
 from fescuechute.claims._commands import Answer, Command, Refuse, Send
 from fescuechute.claims._keys import Scope, check_age, partition_of
 from fescuechute.claims._partition import PartitionLog
-from fescuechute.claims._records import ClaimRecord, OutcomeRecord, ReleaseRecord
+from fescuechute.claims._records import (
+    ClaimRecord,
+    LogRecord,
+    OutcomeRecord,
+    ReleaseRecord,
+)
 from fescuechute.claims._settings import ClaimSettings
 from fescuechute.claims._view import ClaimsView, ScopeState, ScopeStatus
 from fescuechute.errors import ExecutionStatus, Reason, RefusedError
@@ -42,6 +47,8 @@
         self._pending_commands: list[Command] = []
         self._now = 0.0
         self._log_up = True
+        #: Newest era of the log that was seen.
+        self._era = 0
         self._partition_logs = [PartitionLog(n, cfg, holder) for n in range(cfg.partitions)]
         #: Outcomes reported to this process that were not read from the log yet, by claim id.
         self._local_outcomes: dict[str, tuple[Scope, OutcomeRecord]] = {}
@@ -92,16 +99,32 @@
 
     # Inputs from the log.
 
-    def append_done(self, number: int, batch_id: str, first_offset: int) -> None:
-        """Handles a successful append, whose first record has the offset `first_offset`."""
+    def append_done(self, number: int, batch_id: str, first_offset: int, era: int = 0) -> None:
+        """Handles a successful append.
+
+        Args:
+          number: Partition.
+          batch_id: Id of the batch.
+          first_offset: Offset of the first record.
+          era: Era of the log in its answer.
+        """
+        self._observe_era(era)
+        if era < self._era:
+            self.append_failed(number, batch_id, certain_not_applied=False, era=era)
+            return
         self._log_up = True
         partition_log = self._partition_logs[number]
-        for index, pending in enumerate(partition_log.queue.complete(batch_id)):
+        completed = partition_log.queue.complete(batch_id)
+        for index, pending in enumerate(completed):
             if isinstance(pending.record, ClaimRecord):
                 self._set_claim_offset(pending.record.claim_id, first_offset + index)
-        partition_log.request_read()
+        partition_log.appended(first_offset + len(completed))
+        if partition_log.queue.reading_back:
+            partition_log.request_read_back()
 
-    def append_failed(self, number: int, batch_id: str, certain_not_applied: bool) -> None:
+    def append_failed(
+        self, number: int, batch_id: str, certain_not_applied: bool, era: int = 0
+    ) -> None:
         """Handles a failed append.
 
         Args:
@@ -109,14 +132,22 @@
           batch_id: Id of the batch.
           certain_not_applied: Whether the append certainly had no effect, for example because the
             log refused it. If False, the partition is read back before the batch is appended again.
+          era: Era of the log in its answer, 0 without an answer.
         """
+        self._observe_era(era)
         partition_log = self._partition_logs[number]
         partition_log.queue.fail(batch_id, certain_not_applied, self._now)
         if partition_log.queue.reading_back:
             partition_log.request_read_back()
 
     def read_done(
-        self, number: int, records: Sequence[Mapping[str, Any]], first_retained: int, now: float
+        self,
+        number: int,
+        records: Sequence[Mapping[str, Any]],
+        first_retained: int,
+        now: float,
+        era: int = 0,
+        position_era: int = 0,
     ) -> None:
         """Handles the answer of the log to a `ReadPartition`.
 
@@ -126,7 +157,14 @@
             `first_retained`, whichever is later.
           first_retained: Oldest offset that the log retains.
           now: The log's clock in its answer, unix seconds.
+          era: Era of the log in its answer.
+          position_era: Era of the requested offset. Records are dropped unless both are the newest
+            era: they belong to a lost stretch, or the offset does.
         """
+        self._observe_era(era)
+        if era < self._era or position_era < self._era:
+            self.read_failed(number, self._now, position_era=position_era)
+            return
         self._log_up = True
         partition_log = self._partition_logs[number]
         matched = partition_log.queue.match_records(records)
@@ -139,10 +177,21 @@
         partition_log.fold(records, first_retained, now)
         self._drop_settled()
 
-    def read_failed(self, number: int, now: float) -> None:
-        """Handles a failed read."""
+    def read_failed(
+        self, number: int, now: float, era: int = 0, position_era: int | None = None
+    ) -> None:
+        """Handles a failed read.
+
+        Args:
+          number: Partition.
+          now: Unix seconds.
+          era: Era of the log in its answer, 0 without an answer.
+          position_era: Era of the requested offset, None for the current one.
+        """
         self._now = now
-        self._partition_logs[number].read_failed(now)
+        self._observe_era(era)
+        if position_era is None or position_era == self._era:
+            self._partition_logs[number].read_failed(now)
 
     def log_down(self, now: float) -> None:
         """Marks the log as unavailable until its next answer.
@@ -155,6 +204,16 @@
         for partition_log in self._partition_logs:
             partition_log.read_failed(now)
 
+    def _observe_era(self, era: int) -> None:
+        """Starts a new era of all partitions if the log has returned from a copy."""
+        if era <= self._era:
+            return
+        self._era = era
+        for partition_log in self._partition_logs:
+            partition_log.start_era(era)
+        for call in self._calls.values():
+            call.claim_offset = None
+
     # Inputs from agents.
 
     def sent(self, call_id: str) -> None:
@@ -176,7 +235,7 @@
             self.unexpected_inputs += 1
             return
         outcome = OutcomeRecord(call.claim_id, status, body)
-        if call.partition_log.view.outcome(call.scope) is None:
+        if not call.partition_log.has_outcome(call.scope):
             self._local_outcomes[call.claim_id] = (call.scope, outcome)
             call.partition_log.queue.add(outcome, self._now)
         self._reply(call, Answer(call_id, status, body))
@@ -226,10 +285,10 @@
 
     def lookup(self, scope: Scope, digest: str) -> ScopeStatus:
         """Returns the state of a scope, from the log and from outcomes not yet read back."""
-        return self._lookup(self.view(scope), scope, digest)
+        return self._lookup(self._partition_log(scope), scope, digest)
 
-    def _lookup(self, view: ClaimsView, scope: Scope, digest: str) -> ScopeStatus:
-        status = view.status(scope, digest)
+    def _lookup(self, partition_log: PartitionLog, scope: Scope, digest: str) -> ScopeStatus:
+        status = partition_log.status(scope, digest)
         local = self._local_outcomes.get(status.claim_id)
         if status.state is ScopeState.HELD and local is not None:
             outcome = local[1]
@@ -237,12 +296,21 @@
         return status
 
     def status_of(self, scope: Scope) -> ScopeStatus:
-        """Returns the state of a scope for a caller that queries the outcome of a key."""
-        view = self._partition_log(scope).view
-        claim = view.holding_claim(scope)
-        return (
-            self.lookup(scope, claim.digest) if claim is not None else ScopeStatus(ScopeState.FREE)
-        )
+        """Returns the state of a scope for a caller that queries the outcome of a key.
+
+        A scope without a claim is HELD if its claim may be missing from the view.
+        """
+        partition_log = self._partition_log(scope)
+        claim = partition_log.holding_claim(scope)
+        if claim is not None:
+            return self.lookup(scope, claim.digest)
+        complete = partition_log.view.complete_for(scope.key)
+        return ScopeStatus(ScopeState.FREE if complete else ScopeState.HELD)
+
+    @property
+    def era(self) -> int:
+        """Newest era of the log that was seen."""
+        return self._era
 
     # Decisions.
 
@@ -256,6 +324,7 @@
                 self._advance_unsent(call)
         waiting = self._waiting_partitions()
         for partition_log in self._partition_logs:
+            partition_log.restore(self._local_records(partition_log.number), now)
             batch = partition_log.queue.next_batch(now) if self._log_up else None
             if batch is not None:
                 self._pending_commands.append(batch)
@@ -266,7 +335,9 @@
         return commands
 
     def _advance_sent(self, call: Call) -> None:
-        if call.state is CallState.LOST and self.view(call.scope).is_released(call.claim_id):
+        if call.state is CallState.LOST and call.partition_log.is_released(
+            call.claim_id, call.scope
+        ):
             # The agent dropped the call before starting it and released the claim.
             retry_at = self._now + self._cfg.refusal_retry_s
             self._reply(
@@ -278,14 +349,14 @@
             if self._now > call.scope.key.created_at + self._cfg.window_s + self._cfg.margin_s:
                 del self._calls[call.call_id]
             return
-        status = self._lookup(call.partition_log.view, call.scope, call.digest)
+        status = self._lookup(call.partition_log, call.scope, call.digest)
         if status.state is ScopeState.DONE and status.claim_id == call.claim_id:
             self._reply(call, Answer(call.call_id, status.status, status.body))
         elif self._now >= call.deadline:
             self._reply(call, Refuse(call.call_id, Reason.OUTCOME_UNKNOWN, ExecutionStatus.UNKNOWN))
 
     def _advance_unsent(self, call: Call) -> None:
-        status = self._lookup(call.partition_log.view, call.scope, call.digest)
+        status = self._lookup(call.partition_log, call.scope, call.digest)
         if not self._has_aged_out(call.partition_log.view, call.scope):
             call.held_by_other = self._is_held_by_other(status, call)
         if status.state is ScopeState.DONE:
@@ -332,7 +403,9 @@
     def _check_claim(self, call: Call) -> None:
         """Refuses a call whose claim was read back but cannot hold the scope."""
         view = call.partition_log.view
-        if view.has_claim(call.claim_id):
+        if view.era and call.partition_log.read_to_end and not view.complete_for(call.scope.key):
+            self._refuse(call, Reason.NOT_READY, retryable=True)
+        elif view.has_claim(call.claim_id):
             if not view.complete_for(call.scope.key):
                 self._refuse(call, Reason.NOT_READY, retryable=True)
         elif call.claim_offset is not None and call.claim_offset < view.next_offset:
@@ -415,14 +488,23 @@
     def _drop_settled(self) -> None:
         """Drops local outcomes and pending releases that were read back or whose key aged out."""
         for claim_id, (scope, _) in list(self._local_outcomes.items()):
-            view = self.view(scope)
-            if view.outcome(scope) is not None or self._has_aged_out(view, scope):
+            has_outcome = self._partition_log(scope).has_outcome(scope)
+            if has_outcome or self._has_aged_out(self.view(scope), scope):
                 del self._local_outcomes[claim_id]
         for claim_id, scope in list(self._pending_releases.items()):
             view = self.view(scope)
             if view.is_released(claim_id) or self._has_aged_out(view, scope):
                 del self._pending_releases[claim_id]
 
+    def _local_records(self, number: int) -> Iterator[LogRecord]:
+        """Returns the outcomes and releases of a partition that were not read back yet."""
+        for scope, outcome in self._local_outcomes.values():
+            if self._partition_log(scope).number == number:
+                yield outcome
+        for claim_id, scope in self._pending_releases.items():
+            if self._partition_log(scope).number == number:
+                yield ReleaseRecord(claim_id, self._holder)
+
     def _has_aged_out(self, view: ClaimsView, scope: Scope) -> bool:
         """Whether log time has passed the end of the key's window and margin."""
         end_of_retention = scope.key.created_at + self._cfg.window_s + self._cfg.margin_s
--- a/fescuechute/claims/_view.py
+++ b/fescuechute/claims/_view.py
@@ -5,17 +5,19 @@
 import enum
 import heapq
 import math
-from collections.abc import Iterable, Mapping
-from typing import Any, TypeGuard
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
 
 import attrs
 
 from fescuechute.claims._keys import Key, Scope
 from fescuechute.claims._records import (
     ClaimRecord,
+    EraRecord,
     LogRecord,
     OutcomeRecord,
     ReleaseRecord,
+    is_timestamp,
     parse_record,
 )
 
@@ -82,14 +84,26 @@
     log order that is not released holds the scope. Log times must not decrease with the offset. All
     decisions depend on log times only, so that all processes that read the same records agree.
 
+    A view belongs to one era of the log. In an era above 0 records from before the return may be
+    lost, so the view is complete only for keys that were created after it.
+
     Attributes:
+      era: Era of the log whose records are folded.
       next_offset: Offset of the next record to fold.
-      complete_since: Every record with a later log time, up to `next_offset`, has been folded.
+      returned_by: Upper bound of the time at which the era began, unix seconds by the log's clock;
+        minus infinity in era 0, plus infinity while it is unknown.
       last_time: Log time of the latest record, unix seconds.
       ignored_records: Number of records that were invalid or had no effect.
     """
 
-    def __init__(self, window_s: float, skew_s: float, margin_s: float = 60.0):
+    def __init__(
+        self,
+        window_s: float,
+        skew_s: float,
+        margin_s: float = 60.0,
+        era: int = 0,
+        last_time: float = -math.inf,
+    ):
         self._window_s = window_s
         self._skew_s = skew_s
         self._margin_s = margin_s
@@ -98,14 +112,30 @@
         #: Log times of releases whose claim was not read yet, by claim id and holder. A claim whose
         #: append was delayed can follow its own release in the log.
         self._early_releases: dict[tuple[str, str], float] = {}
+        #: Outcomes whose claim was not read yet, with their log times, by claim id. After a return,
+        #: an outcome can be appended again before its claim.
+        self._early_outcomes: dict[str, tuple[OutcomeRecord, float]] = {}
         #: Heap of scopes by the creation time of their key; the number breaks ties.
         self._scopes_by_age: list[tuple[float, int, Scope]] = []
         self._last_sequence = 0
+        self._truncated_at = -math.inf
+        self.era = era
         self.next_offset = 0
-        self.complete_since = -math.inf
-        self.last_time = -math.inf
+        self.returned_by = math.inf if era else -math.inf
+        #: Log time of the latest record of the era that bounds its begin.
+        self.era_recorded_at = -math.inf
+        self.last_time = last_time
         self.ignored_records = 0
 
+    @property
+    def complete_since(self) -> float:
+        """Every record with a later log time, up to `next_offset`, has been folded."""
+        return max(self._truncated_at, self.returned_by)
+
+    def bound_return(self, time: float) -> None:
+        """Lowers `returned_by` to a log time at which the era had begun, unix seconds."""
+        self.returned_by = min(self.returned_by, time)
+
     def __len__(self) -> int:
         """Returns the number of scopes in memory."""
         return len(self._scopes)
@@ -144,10 +174,15 @@
         """
         if first_offset > self.next_offset:
             self.next_offset = first_offset
-            self.complete_since = max(self.complete_since, at)
+            self._truncated_at = max(self._truncated_at, at)
             self.last_time = max(self.last_time, at)
             self._drop_expired()
 
+    @property
+    def oldest_created_at(self) -> float:
+        """Creation time of the oldest keys that are kept, unix seconds."""
+        return self.last_time - self._window_s - self._margin_s
+
     def complete_for(self, key: Key) -> bool:
         """Whether no claim on the key that has an effect can be missing from the view."""
         return self.complete_since < key.created_at - self._skew_s
@@ -213,13 +248,57 @@
         claim = self._claims.get(claim_id)
         return claim is not None and claim.released
 
+    def has_release(self, claim: ClaimRecord) -> bool:
+        """Whether a release of the claim was read, even if the claim itself was not."""
+        early = (claim.claim_id, claim.holder) in self._early_releases
+        return early or self.is_released(claim.claim_id)
+
+    def early_outcome(self, claim_id: str) -> OutcomeRecord | None:
+        """Returns the outcome of a claim that was not read."""
+        early = self._early_outcomes.get(claim_id)
+        return early[0] if early is not None else None
+
+    def has_record(self, record: LogRecord) -> bool:
+        """Whether a record of a claim was read."""
+        if isinstance(record, ClaimRecord):
+            return record.claim_id in self._claims
+        if isinstance(record, OutcomeRecord):
+            claim = self._claims.get(record.claim_id)
+            scope_claims = self._scopes[claim.record.scope] if claim is not None else None
+            in_scope = scope_claims is not None and scope_claims.outcome is not None
+            return in_scope or record.claim_id in self._early_outcomes
+        if isinstance(record, ReleaseRecord):
+            early = (record.claim_id, record.holder) in self._early_releases
+            return early or self.is_released(record.claim_id)
+        return record.era == self.era and self.era_recorded_at > -math.inf
+
+    def holding_claims(self) -> Iterator[tuple[Scope, ClaimRecord, OutcomeRecord | None]]:
+        """Returns each scope that is held, with its claim and outcome."""
+        for scope, scope_claims in self._scopes.items():
+            claim = scope_claims.holding_claim
+            if claim is not None:
+                yield scope, claim.record, scope_claims.outcome
+
+    def released_claims(self) -> Iterator[ClaimRecord]:
+        """Returns the claims whose release was read."""
+        return (claim.record for claim in self._claims.values() if claim.released)
+
     def _fold(self, record: LogRecord, time: float) -> None:
         if isinstance(record, ClaimRecord):
             self._fold_claim(record, time)
         elif isinstance(record, OutcomeRecord):
-            self._fold_outcome(record)
-        else:
+            self._fold_outcome(record, time)
+        elif isinstance(record, ReleaseRecord):
             self._fold_release(record, time)
+        else:
+            self._fold_era(record, time)
+
+    def _fold_era(self, record: EraRecord, time: float) -> None:
+        if record.era != self.era:
+            self.ignored_records += 1
+            return
+        self.era_recorded_at = time
+        self.bound_return(min(time, record.returned_by))
 
     def _fold_claim(self, record: ClaimRecord, time: float) -> None:
         # Copies outside the window are not remembered. Otherwise a view that missed such a copy
@@ -239,9 +318,15 @@
                 (record.scope.key.created_at, self._last_sequence, record.scope),
             )
         scope_claims.claims.append(claim)
+        early_outcome = self._early_outcomes.pop(record.claim_id, None)
+        if early_outcome is not None:
+            self._fold_outcome(early_outcome[0], time)
 
-    def _fold_outcome(self, record: OutcomeRecord) -> None:
+    def _fold_outcome(self, record: OutcomeRecord, time: float) -> None:
         claim = self._claims.get(record.claim_id)
+        if claim is None and self.era:
+            self._early_outcomes.setdefault(record.claim_id, (record, time))
+            return
         if claim is None or claim.released:
             self.ignored_records += 1
             return
@@ -258,6 +343,9 @@
 
     def _fold_release(self, record: ReleaseRecord, time: float) -> None:
         claim = self._claims.get(record.claim_id)
+        if claim is None and record.claim_id in self._early_outcomes:
+            self.ignored_records += 1
+            return
         if claim is None:
             self._early_releases.setdefault((record.claim_id, record.holder), time)
             return
@@ -269,7 +357,7 @@
 
     def _drop_expired(self) -> None:
         # A claim on a dropped key can no longer have an effect: its log time is past the window.
-        horizon = self.last_time - self._window_s - self._margin_s
+        horizon = self.oldest_created_at
         while self._scopes_by_age and self._scopes_by_age[0][0] < horizon:
             _, _, scope = heapq.heappop(self._scopes_by_age)
             for claim in self._scopes.pop(scope).claims:
@@ -279,8 +367,8 @@
             if time >= horizon - self._skew_s:
                 break
             del self._early_releases[oldest]
-
-
-def is_timestamp(value: object) -> TypeGuard[float]:
-    """Whether a value read from the log is a valid time."""
-    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+        while self._early_outcomes:
+            claim_id, (_, time) = next(iter(self._early_outcomes.items()))
+            if time >= horizon - self._skew_s:
+                break
+            del self._early_outcomes[claim_id]
--- a/fescuechute/entry/_claims.py
+++ b/fescuechute/entry/_claims.py
@@ -55,6 +55,8 @@
         #: Calls whose callers have not been answered, by request id.
         self._rows: dict[str, CallRow] = {}
         self._next_run_at = 0.0
+        #: Era of the log that was last reported.
+        self._known_era = 0
 
     @property
     def pending_count(self) -> int:
@@ -204,34 +206,47 @@
     def _on_appended(self, command: AppendBatch, result: HttpResult) -> None:
         now = self._node.clock.now()
         body = result.json() if result.ok else None
+        era = log_era(result)
         if isinstance(body, dict) and isinstance(body.get("first"), int):
-            self._table.append_done(command.partition, command.batch_id, body["first"])
+            self._table.append_done(command.partition, command.batch_id, body["first"], era)
         else:
             # An append has no effect if it was completely refused or never left this process.
             certain_not_applied = (
                 not result.error and result.status in (429, 503)
             ) or not result.sent
             self._node.count("log.append_refused" if certain_not_applied else "log.append_unknown")
-            self._table.append_failed(command.partition, command.batch_id, certain_not_applied)
+            self._table.append_failed(command.partition, command.batch_id, certain_not_applied, era)
             # A lost answer alone does not mean that the log is unavailable; the read that follows at
             # once shows whether it is.
             lost_answer = result.sent and not result.status and not result.silent
             if result.status != 429 and not lost_answer:
                 self._table.log_down(now)
+        self._report_era()
         self.run(now)
 
     def _on_read(self, command: ReadPartition, result: HttpResult) -> None:
         now = self._node.clock.now()
         body = result.json() if result.ok else None
+        number, era = command.partition, log_era(result)
         if isinstance(body, dict) and isinstance(body.get("records"), list):
-            self._table.read_done(command.partition, body["records"], body["first"], body["now"])
+            records, first = body["records"], body["first"]
+            self._table.read_done(number, records, first, body["now"], era, command.era)
         else:
             self._node.count("log.read_failed")
-            self._table.read_failed(command.partition, now)
-            if result.status != 429:
+            self._table.read_failed(number, now, era, command.era)
+            if result.status not in (410, 429):
                 self._table.log_down(now)
+        self._report_era()
         self.run(now)
 
+    def _report_era(self) -> None:
+        if self._table.era > self._known_era:
+            self._known_era = self._table.era
+            self._node.count("log.era_seen")
+            self._node.log.warn(
+                "The log returned from a copy in era {}; claims are read anew.", self._known_era
+            )
+
     def _on_caller_disconnect(self, row: CallRow) -> None:
         self._rows.pop(row.request_id, None)
         if row.request_id in self._node.dispatcher.rows and not row.agent_id:
@@ -251,6 +266,13 @@
 }
 
 
+def log_era(result: HttpResult) -> int:
+    """Returns the era of the log in an answer; 0 if it states none or did not arrive."""
+    body = result.json() if result.status else None
+    era = body.get("era") if isinstance(body, dict) else None
+    return era if type(era) is int and era > 0 else 0
+
+
 def content_digest(operation: str, arguments: str) -> str:
     """Returns the digest that detects the reuse of a key for a different content."""
     return blake3(f"{operation}\0{arguments}".encode()).hexdigest(length=16)
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -2,9 +2,18 @@
 
 import pytest
 
-from fescuechute.claims import Answer, AppendBatch, ClaimSettings, ClaimTable, Key, Refuse, Scope
+from fescuechute.claims import (
+    Answer,
+    AppendBatch,
+    ClaimRecord,
+    ClaimSettings,
+    ClaimTable,
+    Key,
+    Refuse,
+    Scope,
+)
 from fescuechute.errors import ExecutionStatus, Reason
-from tests.claims.model import START, World
+from tests.claims.model import CFG, START, World
 
 
 class Case:
@@ -270,3 +279,70 @@
     case.run_rounds(case.b)
     assert_refused(late, Reason.OUTCOME_UNKNOWN, ExecutionStatus.UNKNOWN)
     assert late.stage == ""
+
+
+def test_claim_of_a_lost_stretch_is_never_made_again(case):
+    """A return that loses a claim whose call ran must not let its key run at any other entry."""
+    first = case.submit_and_deliver(case.a)
+    case.world.execute(first)
+    case.world.return_from_copy(lost=100)
+    started = case.world.start_entry(0.0)
+    retries = [case.submit(entry) for entry in (case.b, started)]
+    case.run_rounds(case.b, started)
+    for retry in retries:
+        assert assert_refused(retry, Reason.NOT_READY).retry_at is not None
+    case.run_rounds(case.a, started, count=12, pause_s=0.5)
+    retried = case.submit(started)
+    case.run_rounds(started)
+    assert isinstance(retried.reply, Answer), "the outcome was not appended again"
+    assert case.record_ids().count("e0/1/outcome") == 1
+
+
+def test_unsent_claim_of_a_lost_stretch_is_not_sent(case):
+    """A claim that was read before a return must not be the reason to send after it."""
+    attempt = case.submit(case.a)
+    case.run_rounds(case.a, count=2, read="hang")
+    case.world.return_from_copy(lost=100)
+    case.run_rounds(case.a, count=20)
+    assert_refused(attempt, Reason.NOT_READY)
+    assert attempt.stage == ""
+
+
+def test_key_created_after_a_return_is_served(case):
+    """After a return only keys that a lost claim can concern may be refused."""
+    case.world.return_from_copy(lost=0)
+    case.run_rounds(case.a, case.b)
+    case.world.now += CFG.skew_s + 0.1
+    key = Key.parse(f"{round(case.world.now * 1000)}-booking_2")
+    case.scope = Scope("acme", "bookings", key)
+    started = case.world.start_entry(0.0)
+    case.run_rounds(started)
+    assert case.submit_and_deliver(started).claim_id
+    era_records = [e for e in case.world.log.history if e["data"]["type"] == "era"]
+    assert era_records, "a process that starts later cannot learn the time of the return"
+
+
+@pytest.mark.parametrize("result", ["ok", "ok_late_era"])
+def test_append_answered_after_a_return_is_read_back(case, result):
+    """An answer from before a return says nothing about the log after it."""
+    first = case.submit_and_deliver(case.a)
+    case.world.execute(first)
+    case.run_rounds(case.a, count=1, append="hang_applied")
+    case.world.return_from_copy(lost=1)
+    case.run_rounds(case.a, count=1, append=result)
+    case.run_rounds(case.a, count=30)
+    assert case.record_ids().count("e0/1/outcome") == 1
+
+
+def test_offset_of_an_earlier_era_does_not_skip_records(case):
+    """A read from an old offset must not be folded, although the log has records there again."""
+    case.submit_and_deliver(case.a)
+    case.run_rounds(case.b)
+    case.world.return_from_copy(lost=100)
+    others = [
+        {"id": f"o{n}", "data": ClaimRecord(f"x/{n}", case.scope, "o", "x", "d1").to_data()}
+        for n in range(3)
+    ]
+    case.world.log.append(tuple(others), case.world.now)
+    case.run_rounds(case.b, count=6, pause_s=0.5)
+    assert case.b.table.view(case.scope).has_claim("x/0")
--- a/tests/harness/_history.py
+++ b/tests/harness/_history.py
@@ -95,6 +95,8 @@
     claims: dict[str, LoggedClaim] = {}
     released_before_claim: set[str] = set()
     for data in records:
+        if data["type"] == "era":
+            continue
         claim_id = data["claim_id"]
         if data["type"] == "claim":
             claim = LoggedClaim(
