Split unread records from the claim table

The records of this process that were not read back yet, and when they are settled, are now UnreadRecords in a module of their own; callers see no change. Run: tests/claims passes (tables and machine).

--- a/fescuechute/claims/_partition.py
+++ b/fescuechute/claims/_partition.py
@@ -108,6 +108,11 @@
             claim_id, scope, self.view
         )
 
+    def has_aged_out(self, scope: Scope) -> bool:
+        """Whether log time has passed the end of the key's window and margin."""
+        end_of_retention = scope.key.created_at + self._cfg.window_s + self._cfg.margin_s
+        return self.view.last_time > end_of_retention
+
     def restore(self, local_records: Iterable[LogRecord], now: float) -> None:
         """Queues records that the current era lacks, batch by batch, once it was read to its end.
 
--- a/fescuechute/claims/_table.py
+++ b/fescuechute/claims/_table.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from fescuechute.claims._calls import MAY_HAVE_RUN, Call, CallState
 from fescuechute.claims._commands import Answer, Command, Refuse, Send
 from fescuechute.claims._keys import Scope, check_age, partition_of
 from fescuechute.claims._partition import PartitionLog
-from fescuechute.claims._records import (
-    ClaimRecord,
-    LogRecord,
-    OutcomeRecord,
-    ReleaseRecord,
-)
+from fescuechute.claims._records import ClaimRecord, OutcomeRecord
 from fescuechute.claims._settings import ClaimSettings
+from fescuechute.claims._unread import UnreadRecords
 from fescuechute.claims._view import ClaimsView, ScopeState, ScopeStatus
 from fescuechute.errors import ExecutionStatus, Reason, RefusedError
 
@@ -50,10 +46,7 @@
         #: Newest era of the log that was seen.
         self._era = 0
         self._partition_logs = [PartitionLog(n, cfg, holder) for n in range(cfg.partitions)]
-        #: Outcomes reported to this process that were not read from the log yet, by claim id.
-        self._local_outcomes: dict[str, tuple[Scope, OutcomeRecord]] = {}
-        #: Own claims that will not be used to send and whose release was not read from the log yet.
-        self._pending_releases: dict[str, Scope] = {}
+        self._unread = UnreadRecords(holder, self._partition_log)
         self.unexpected_inputs = 0
 
     # Inputs from callers.
@@ -175,7 +168,7 @@
                     pending.record.claim_id, offsets.get(pending.record.record_id)
                 )
         partition_log.fold(records, first_retained, now)
-        self._drop_settled()
+        self._unread.drop_settled()
 
     def read_failed(
         self, number: int, now: float, era: int = 0, position_era: int | None = None
@@ -236,7 +229,7 @@
             return
         outcome = OutcomeRecord(call.claim_id, status, body)
         if not call.partition_log.has_outcome(call.scope):
-            self._local_outcomes[call.claim_id] = (call.scope, outcome)
+            self._unread.add_outcome(call.scope, outcome)
             call.partition_log.queue.add(outcome, self._now)
         self._reply(call, Answer(call_id, status, body))
         del self._calls[call_id]
@@ -289,9 +282,8 @@
 
     def _lookup(self, partition_log: PartitionLog, scope: Scope, digest: str) -> ScopeStatus:
         status = partition_log.status(scope, digest)
-        local = self._local_outcomes.get(status.claim_id)
-        if status.state is ScopeState.HELD and local is not None:
-            outcome = local[1]
+        outcome = self._unread.outcome(status.claim_id)
+        if status.state is ScopeState.HELD and outcome is not None:
             return ScopeStatus(ScopeState.DONE, status.claim_id, outcome.status, outcome.body)
         return status
 
@@ -324,7 +316,7 @@
                 self._advance_unsent(call)
         waiting = self._waiting_partitions()
         for partition_log in self._partition_logs:
-            partition_log.restore(self._local_records(partition_log.number), now)
+            partition_log.restore(self._unread.of_partition(partition_log.number), now)
             batch = partition_log.queue.next_batch(now) if self._log_up else None
             if batch is not None:
                 self._pending_commands.append(batch)
@@ -357,19 +349,19 @@
 
     def _advance_unsent(self, call: Call) -> None:
         status = self._lookup(call.partition_log, call.scope, call.digest)
-        if not self._has_aged_out(call.partition_log.view, call.scope):
+        if not call.partition_log.has_aged_out(call.scope):
             call.held_by_other = self._is_held_by_other(status, call)
         if status.state is ScopeState.DONE:
             self._reply(call, Answer(call.call_id, status.status, status.body))
             self._remove_and_cancel(call)
-        elif status.state is ScopeState.REUSED and status.claim_id not in self._pending_releases:
+        elif status.state is ScopeState.REUSED and not self._unread.is_released(status.claim_id):
             self._refuse(call, Reason.KEY_REUSED)
         elif self._now >= call.deadline:
             self._refuse_expired(call, Reason.DEADLINE_PASSED)
         elif self._may_send(call):
             call.state = CallState.SENDING
             self._pending_commands.append(Send(call.call_id, call.claim_id))
-        elif self._has_aged_out(call.partition_log.view, call.scope):
+        elif call.partition_log.has_aged_out(call.scope):
             self._refuse_expired(call, Reason.KEY_EXPIRED)
         elif call.held_by_other:
             return
@@ -422,7 +414,7 @@
         return (
             status.state is ScopeState.HELD
             and status.claim_id != call.claim_id
-            and status.claim_id not in self._pending_releases
+            and not self._unread.is_released(status.claim_id)
         )
 
     # Completion of calls.
@@ -454,8 +446,7 @@
     def _remove_and_release(self, call: Call) -> None:
         """Removes a call that did not run and releases its claim if it may be in the log."""
         if self._remove_and_cancel(call):
-            release = ReleaseRecord(call.claim_id, self._holder)
-            self._pending_releases[call.claim_id] = call.scope
+            release = self._unread.add_release(call.scope, call.claim_id)
             call.partition_log.queue.add(release, self._now)
 
     def _remove_and_cancel(self, call: Call) -> bool:
@@ -484,28 +475,3 @@
             for call in self._calls.values()
             if not call.caller_done and call.state not in (CallState.SENDING, CallState.SENT)
         }
-
-    def _drop_settled(self) -> None:
-        """Drops local outcomes and pending releases that were read back or whose key aged out."""
-        for claim_id, (scope, _) in list(self._local_outcomes.items()):
-            has_outcome = self._partition_log(scope).has_outcome(scope)
-            if has_outcome or self._has_aged_out(self.view(scope), scope):
-                del self._local_outcomes[claim_id]
-        for claim_id, scope in list(self._pending_releases.items()):
-            view = self.view(scope)
-            if view.is_released(claim_id) or self._has_aged_out(view, scope):
-                del self._pending_releases[claim_id]
-
-    def _local_records(self, number: int) -> Iterator[LogRecord]:
-        """Returns the outcomes and releases of a partition that were not read back yet."""
-        for scope, outcome in self._local_outcomes.values():
-            if self._partition_log(scope).number == number:
-                yield outcome
-        for claim_id, scope in self._pending_releases.items():
-            if self._partition_log(scope).number == number:
-                yield ReleaseRecord(claim_id, self._holder)
-
-    def _has_aged_out(self, view: ClaimsView, scope: Scope) -> bool:
-        """Whether log time has passed the end of the key's window and margin."""
-        end_of_retention = scope.key.created_at + self._cfg.window_s + self._cfg.margin_s
-        return view.last_time > end_of_retention
