Test bounds of returns, era records and early outcomes by table

Guards against what callers would see as a second run or a lost answer: a bound of a return that is too low, a record of another era taken for the current one, a lookup that calls a key unused whose claim was lost, and an outcome that an agent appended before the claim was appended again. No code is changed. Run: test_claim_table, test_claims_view and test_claim_records pass.

--- a/tests/claims/test_claim_records.py
+++ b/tests/claims/test_claim_records.py
@@ -1,12 +1,14 @@
 """Keys, partitions and records."""
 
 import doctest
+import math
 
 import pytest
 
 import fescuechute.claims
 from fescuechute.claims import (
     ClaimRecord,
+    EraRecord,
     Key,
     OutcomeRecord,
     ReleaseRecord,
@@ -19,6 +21,7 @@
 
 SCOPE = Scope("acme", "bookings", Key.parse("1000000-booking_1"))
 CLAIM = ClaimRecord("e1/1", SCOPE, "book", "e1", "digest")
+ERA = EraRecord(2, 1000.5, "e1", 3)
 
 
 @pytest.mark.parametrize(
@@ -72,7 +75,13 @@
 
 
 @pytest.mark.parametrize(
-    "record", [CLAIM, OutcomeRecord("e1/1", 200, "{}"), ReleaseRecord("e1/1", "e1")]
+    "record",
+    [
+        CLAIM,
+        OutcomeRecord("e1/1", 200, "{}"),
+        ReleaseRecord("e1/1", "e1"),
+        ERA,
+    ],
 )
 def test_records_round_trip(record):
     """A record must be parsed to what was written."""
@@ -93,6 +102,9 @@
         ),
         pytest.param({"type": "outcome", "claim_id": "e1/1", "status": 200}, id="no_body"),
         pytest.param({"type": "release", "claim_id": "e1/1"}, id="release_without_holder"),
+        pytest.param({**ERA.to_data(), "era": 0}, id="era_without_return"),
+        pytest.param({**ERA.to_data(), "returned_by": math.nan}, id="era_without_time"),
+        pytest.param({**ERA.to_data(), "number": "1"}, id="era_without_number"),
     ],
 )
 def test_invalid_records_are_rejected(data):
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -11,6 +11,7 @@
     Key,
     Refuse,
     Scope,
+    ScopeState,
 )
 from fescuechute.errors import ExecutionStatus, Reason
 from tests.claims.model import CFG, START, World
@@ -291,6 +292,8 @@
     case.run_rounds(case.b, started)
     for retry in retries:
         assert assert_refused(retry, Reason.NOT_READY).retry_at is not None
+        status = retry.entry.table.status_of(case.scope)
+        assert status.state is ScopeState.HELD, "a lookup calls a key unused that ran"
     case.run_rounds(case.a, started, count=12, pause_s=0.5)
     retried = case.submit(started)
     case.run_rounds(started)
--- a/tests/claims/test_claims_view.py
+++ b/tests/claims/test_claims_view.py
@@ -1,10 +1,13 @@
 """Fold of one partition."""
 
+import math
+
 import pytest
 
 from fescuechute.claims import (
     ClaimRecord,
     ClaimsView,
+    EraRecord,
     Key,
     OutcomeRecord,
     ReleaseRecord,
@@ -131,6 +134,41 @@
     assert view.may_send("a1", SCOPE) is sends
 
 
+@pytest.mark.parametrize(
+    ("records", "answered_at", "complete_since"),
+    [
+        pytest.param([], 1500.0, 1500.0, id="answer"),
+        pytest.param([EraRecord(2, 2000.0, "e", 1)], 1500.0, LOG_TIME, id="log_time_of_record"),
+        pytest.param([EraRecord(2, 900.0, "e", 1)], 1500.0, 900.0, id="renewed_record"),
+        pytest.param([EraRecord(1, 900.0, "e", 1)], 1500.0, 1500.0, id="record_of_earlier_era"),
+        pytest.param([EraRecord(3, 900.0, "e", 1)], 1500.0, 1500.0, id="record_of_later_era"),
+    ],
+)
+def test_view_after_a_return_is_complete_since_its_bound(records, answered_at, complete_since):
+    """A bound below the time of the return would let a key of the lost stretch run again."""
+    view = ClaimsView(600.0, 5.0, era=2)
+    assert view.complete_since == math.inf
+    view.bound_return(answered_at)
+    view.apply(log_records(*((LOG_TIME, record) for record in records)))
+    assert view.complete_since == complete_since
+
+
+@pytest.mark.parametrize(
+    ("era", "records", "body"),
+    [
+        pytest.param(1, [outcome("a1"), claim("a1")], "{}", id="before_its_claim"),
+        pytest.param(1, [outcome("a1"), release("a1"), claim("a1")], "{}", id="late_release"),
+        pytest.param(1, [release("a1"), outcome("a1"), claim("a1")], "", id="released"),
+        pytest.param(0, [outcome("a1"), claim("a1")], "", id="without_a_return"),
+    ],
+)
+def test_outcome_before_its_claim(era, records, body):
+    """After a return an agent may append an outcome before the entry appends the claim again."""
+    view = ClaimsView(600.0, 5.0, era=era)
+    view.apply(log_records(*((LOG_TIME, record) for record in records)))
+    assert view.status(SCOPE, "d1").body == body
+
+
 def test_offset_gap_is_treated_as_truncation():
     """A skipped record may be an earlier claim, so a later claim must not be allowed to send."""
     view = fold((KEY_TIME - 9, claim("z1", OTHER_SCOPE)))
