--- a/fescuechute/feeds/_outcomes.py
+++ b/fescuechute/feeds/_outcomes.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from fescuechute.feeds._era import Position
+
 #: Source of a response of the store.
 STORE_SOURCE = "store"
 
@@ -19,6 +21,13 @@
     key: str
     #: None if the record deletes its key.
     value: bytes | None
+    #: Era of the store in which the record has this offset.
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Era and offset."""
+        return Position(self.era, self.offset)
 
 
 @attrs.frozen
@@ -51,6 +60,8 @@
     #: For each record the same for the time after which it was appended, None if unknown; empty in a
     #: response of the store.
     appended_after_s: tuple[float | None, ...] = ()
+    #: Era of the store as of the response; records of older eras were kept by a relay.
+    era: int = 0
 
 
 @attrs.frozen
@@ -64,21 +75,24 @@
     #: Seconds from the start of the call to the time up to which all records are known; negative if
     #: that time is earlier, as it is in a response of a relay.
     confirmed_after_s: float = 0.0
-    #: The same for the time after which all records were appended; None to infer it from the call.
+    #: The same for the time after which all records were appended; None if the source does not know it.
     appended_after_s: float | None = None
-    #: Whether the call waited at the log all the time, so that records came as soon as they were there.
-    prompt: bool = True
     #: The same as `confirmed_after_s` for the last failure of the log that the source has seen.
     failed_after_s: float | None = None
     #: For each record what `appended_after_s` says of all of them; empty in a response of the store.
     record_appended_after_s: tuple[float | None, ...] = ()
     #: Whether records without effect are left out, so that the next read starts at `end`.
     compacted: bool = False
+    #: Era of the store as of the response.
+    era: int = 0
 
 
 @attrs.frozen
 class Trimmed:
-    """The records at the requested offset have been deleted from the log."""
+    """The records at the requested offset have been deleted from the log, or it does not have them yet."""
+
+    #: Era of the store as of the response.
+    era: int = 0
 
 
 @attrs.frozen
@@ -86,6 +100,8 @@
     """The call failed, or its response was invalid."""
 
     reason: str
+    #: Era of the store as of the response; None without a response of it.
+    era: int | None = None
 
 
 Outcome = SnapshotPage | RecordBatch | Trimmed | Failure
--- a/fescuechute/net/_http.py
+++ b/fescuechute/net/_http.py
@@ -15,7 +15,7 @@
 import h11
 
 from fescuechute.net._clock import Clock
-from fescuechute.net._framing import BodyParts
+from fescuechute.net._framing import BodyParts, check_head, declares_body
 from fescuechute.net._sockets import PEER_CLOSED, Connection, SocketOwner
 
 #: Idle connections kept per server.
@@ -50,6 +50,8 @@
     silent: bool = False
     #: Seconds from the first received byte to the end of the call.
     transfer_s: float = 0.0
+    #: Header fields of the response with names in lower case; empty if no response head arrived.
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
     @property
     def ok(self) -> bool:
@@ -91,6 +93,9 @@
     conn: Connection | None = None
     protocol: h11.Connection | None = None
     status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    #: Whether the head declares a body that a response with its status does not have.
+    lacks_body: bool = False
     body: bytearray = attrs.field(factory=bytearray)
     body_parts: BodyParts = attrs.field(factory=BodyParts)
     #: Limit on a collected body in bytes.
@@ -274,8 +279,12 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Response):
+                    check_head(event)
                     call.status = event.status_code
+                    call.headers = tuple(event.headers)
+                    call.lacks_body = call.status == 304 and declares_body(event)
                 elif isinstance(event, h11.InformationalResponse):
+                    check_head(event)
                     call.informational_responses += 1
                     if call.informational_responses > _MAX_INFORMATIONAL_RESPONSES:
                         self._fail(call, "too many informational responses")
@@ -309,6 +318,7 @@
         keep_alive = (
             call.keep_idle_s > 0
             and call.protocol.their_state is h11.DONE
+            and not call.lacks_body
             and len(pool) < _MAX_IDLE_PER_SERVER
         )
         # After unsolicited bytes, later responses could not be matched to their requests.
@@ -320,7 +330,16 @@
         else:
             conn.close()
         transfer_s = 0.0 if call.first_byte_at is None else self._clock.now() - call.first_byte_at
-        call.on_end(HttpResult(call.status, bytes(call.body), "", True, transfer_s=transfer_s))
+        call.on_end(
+            HttpResult(
+                call.status,
+                bytes(call.body),
+                "",
+                True,
+                transfer_s=transfer_s,
+                headers=call.headers,
+            )
+        )
 
     def _on_closed(self, call: HttpCall, reason: str) -> None:
         if call.done:
@@ -341,4 +360,8 @@
         if call.conn is not None:
             call.conn.close()
         silent = reason == _REASON_SILENT
-        call.on_end(HttpResult(call.status, bytes(call.body), reason, call.sent, silent))
+        call.on_end(
+            HttpResult(
+                call.status, bytes(call.body), reason, call.sent, silent, headers=call.headers
+            )
+        )
--- a/fescuechute/stager/_daemon.py
+++ b/fescuechute/stager/_daemon.py
@@ -10,12 +10,13 @@
     EngineReport,
     LoadState,
     Registration,
+    RemovedReplicas,
     Service,
     UpstreamState,
     VersionDeclaration,
 )
 from fescuechute.errors import Problem, SettingsError
-from fescuechute.feeds import FeedSettings, KeyedRecord
+from fescuechute.feeds import STORE_SOURCE, FeedSettings, KeyedRecord
 from fescuechute.forwarding import ClientServer
 from fescuechute.net import MAX_BODY_BYTES, LinkHub
 from fescuechute.platform import (
@@ -26,7 +27,7 @@
     decode_operator_record,
     decode_registration,
 )
-from fescuechute.relay import FirstRead
+from fescuechute.relay import FirstRead, KeptQuery
 from fescuechute.runtime import Process
 from fescuechute.stager._chunk_transfer import (
     USABLE_LINK_SHARE,
@@ -162,9 +163,12 @@
         self.operator_feed = self.make_feed(
             FeedSettings(Topic.OPERATORS, OPERATORS_LONG_POLL_S),
             self._on_operator_record,
-            lambda _keys: None,
+            self._on_operator_snapshot,
             self.operator_log,
         )
+        self.kept_query = KeptQuery(
+            Topic.OPERATORS, self.http, self.eras, self.operator_feed.apply_kept, self.rng
+        )
         self.registry_feed = self.make_feed(
             FeedSettings(Topic.REGISTRY, REGISTRY_WAIT_S, REGISTRY_POLL_S),
             self._on_registration,
@@ -172,10 +176,12 @@
             self.registry_log,
         )
         self._first_read = FirstRead(now(), FIRST_READ_WAIT_S, FIRST_READ_SPREAD_S, self.rng)
+        self._config_version = 0
         self._services: dict[str, Service] = {}
         #: Declared versions that are not planned yet, with the offsets of their records, by model.
         self._declarations: dict[str, tuple[int, int]] = {}
         self._registrations: dict[str, Registration] = {}
+        self._removed = RemovedReplicas()
         #: Whether the registry has been read.
         self._registry_known = False
         #: Latest report of the engine, or None while it does not respond.
@@ -213,6 +219,8 @@
         if self._may_read(now):
             self.operator_feed.tick(now)
             self.registry_feed.tick(now)
+        if self.kept_query.is_asking(now):
+            self.kept_query.tick(now, self.region_relays(now))
         self.hub.tick(now)
         self.chunk_server.tick(now)
         if not self._report_in_flight and now >= self._next_report_at:
@@ -588,15 +596,23 @@
     def _on_operator_record(self, record: KeyedRecord) -> None:
         decoded = self.decode_record(decode_operator_record, record)
         if isinstance(decoded, Configuration):
-            self._services = decoded.services
+            if decoded.version < self._config_version:
+                self.telemetry.count("config.outdated")
+                return
+            self._config_version, self._services = decoded.version, decoded.services
             self.versions.download_s = self._download_s()
             self.transfer.max_chunk_bytes = self._max_chunk_bytes()
             self._update_ring()
             self._plan_declared_version()
         elif isinstance(decoded, VersionDeclaration):
-            self._declarations[decoded.model] = (decoded.version, record.offset)
+            known = self._declarations.get(decoded.model, (0, 0))
+            self._declarations[decoded.model] = max(known, (decoded.version, record.offset))
             self._plan_declared_version()
 
+    def _on_operator_snapshot(self, _keys: frozenset[str]) -> None:
+        if self.operator_feed.delivery.source == STORE_SOURCE:
+            self.kept_query.start(self.operator_feed.era, self.clock.now())
+
     def _plan_declared_version(self) -> None:
         """Plans the declared version of the engine's model.
 
@@ -611,18 +627,30 @@
         self._request_manifests(self.clock.now())
 
     def _on_registration(self, record: KeyedRecord) -> None:
-        previous = self._registrations.pop(record.key, None)
         registration = self.decode_record(decode_registration, record)
+        if registration is not None and self._is_outdated(registration):
+            self.telemetry.count("registration.outdated")
+            return
+        previous = self._registrations.pop(record.key, None)
         if registration is not None:
             self._registrations[record.key] = registration
+        elif previous is not None:
+            self._removed.add(previous)
         # Each heartbeat of a replica writes a record; few of them change the ring.
         if _ring_key(previous) != _ring_key(registration):
             self._update_ring()
 
+    def _is_outdated(self, registration: Registration) -> bool:
+        """Returns whether an entry is older than the known one, or of a replica known to be gone."""
+        known = self._registrations.get(registration.instance)
+        if known is None:
+            return self._removed.is_outdated(registration)
+        return registration.is_older_than(known.born_ms, known.heartbeats)
+
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
         self._registry_known = True
         for key in self._registrations.keys() - keys:
-            del self._registrations[key]
+            self._removed.add(self._registrations.pop(key))
         self._update_ring()
 
 
