Append nothing again whose key has aged out

After a return, a process that was idle for longer than a key's window and margin appended outcomes of such keys again although the log had them: the list was made while the log's last record was old, and the view had forgotten them when the batch was taken. Callers saw nothing; the log got records that no reader uses.

Change: a record to append again carries its scope, and is dropped once log time is past the end of the key's retention.

--- a/fescuechute/claims/_earlier.py
+++ b/fescuechute/claims/_earlier.py
@@ -11,6 +11,9 @@
 from fescuechute.claims._records import ClaimRecord, LogRecord, OutcomeRecord, ReleaseRecord
 from fescuechute.claims._view import ClaimsView, ScopeState, ScopeStatus
 
+#: A record of a claim, with the scope of the claim.
+ScopedRecord = tuple[Scope, LogRecord]
+
 
 @attrs.frozen
 class KnownScope:
@@ -98,7 +101,7 @@
             return ScopeStatus(ScopeState.HELD, claim.claim_id)
         return ScopeStatus(ScopeState.DONE, claim.claim_id, outcome.status, outcome.body)
 
-    def missing_records(self, holder: str, view: ClaimsView) -> Iterator[LogRecord]:
+    def missing_records(self, holder: str, view: ClaimsView) -> Iterator[ScopedRecord]:
         """Returns the records of a holder's claims that the current era lacks, outcomes first.
 
         Each outcome follows its claim if the claim is lacking as well.
@@ -109,16 +112,16 @@
         for scope, known in own:
             if known.outcome is not None and view.outcome(scope) is None:
                 if not view.has_claim(known.claim.claim_id):
-                    yield known.claim
-                yield known.outcome
-        for _, known in own:
+                    yield scope, known.claim
+                yield scope, known.outcome
+        for scope, known in own:
             held = known.outcome is None and not self.is_released(known.claim, view)
             if held and not view.has_claim(known.claim.claim_id):
-                yield known.claim
+                yield scope, known.claim
         for claim in self._released.values():
             is_held = view.has_claim(claim.claim_id) and not view.has_release(claim)
             if claim.holder == holder and is_held:
-                yield ReleaseRecord(claim.claim_id, holder)
+                yield claim.scope, ReleaseRecord(claim.claim_id, holder)
 
     def drop_expired(self, oldest_created_at: float) -> None:
         """Drops the scopes whose key was created earlier, unix seconds."""
--- a/fescuechute/claims/_partition.py
+++ b/fescuechute/claims/_partition.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from fescuechute.claims._commands import ReadPartition
-from fescuechute.claims._earlier import EarlierEras
+from fescuechute.claims._earlier import EarlierEras, ScopedRecord
 from fescuechute.claims._keys import Scope
 from fescuechute.claims._queue import AppendQueue
 from fescuechute.claims._records import (
@@ -46,7 +46,7 @@
         self.earlier = EarlierEras()
         self.read_to_end = False
         #: Records to append again, None until they are known in the current era.
-        self._to_restore: deque[LogRecord] | None = None
+        self._to_restore: deque[ScopedRecord] | None = None
         #: Unix seconds.
         self._next_restore_at = 0.0
         #: Offset up to which own records were appended in the current era.
@@ -110,10 +110,12 @@
 
     def has_aged_out(self, scope: Scope) -> bool:
         """Whether log time has passed the end of the key's window and margin."""
-        end_of_retention = scope.key.created_at + self._cfg.window_s + self._cfg.margin_s
-        return self.view.last_time > end_of_retention
+        return self.view.last_time > self._end_of_retention(scope)
 
-    def restore(self, local_records: Iterable[LogRecord], now: float) -> None:
+    def _end_of_retention(self, scope: Scope) -> float:
+        return scope.key.created_at + self._cfg.window_s + self._cfg.margin_s
+
+    def restore(self, local_records: Iterable[ScopedRecord], now: float) -> None:
         """Queues records that the current era lacks, batch by batch, once it was read to its end.
 
         Args:
@@ -124,7 +126,7 @@
             return
         if self._to_restore is None:
             missing = self.earlier.missing_records(self._holder, self.view)
-            records = {record.record_id: record for record in (*missing, *local_records)}
+            records = {scoped[1].record_id: scoped for scoped in (*missing, *local_records)}
             self._to_restore = deque(records.values())
             self._next_restore_at = now + self._spread * self._cfg.restore_interval_s
         is_read_back = not len(self.queue) and self.view.next_offset >= self._appended_end
@@ -138,12 +140,14 @@
             )
             self.queue.add(record, now)
         while self._to_restore and len(self.queue) < self._cfg.batch_records:
-            restored = self._to_restore.popleft()
-            if not self.view.has_record(restored) and self._has_effect(restored):
+            scope, restored = self._to_restore.popleft()
+            if not self.view.has_record(restored) and self._has_effect(scope, restored):
                 self.queue.add(restored, now)
 
-    def _has_effect(self, record: LogRecord) -> bool:
+    def _has_effect(self, scope: Scope, record: LogRecord) -> bool:
         """Whether a record that is appended again can change what readers know."""
+        if self._log_time > self._end_of_retention(scope):
+            return False
         if isinstance(record, ClaimRecord):
             return self.view.is_in_window(record.scope.key, self._log_time)
         if isinstance(record, ReleaseRecord):
--- a/fescuechute/claims/_unread.py
+++ b/fescuechute/claims/_unread.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable, Iterator
 
+from fescuechute.claims._earlier import ScopedRecord
 from fescuechute.claims._keys import Scope
 from fescuechute.claims._partition import PartitionLog
-from fescuechute.claims._records import LogRecord, OutcomeRecord, ReleaseRecord
+from fescuechute.claims._records import OutcomeRecord, ReleaseRecord
 
 
 class UnreadRecords:
@@ -44,14 +45,14 @@
         """Whether a claim of this process is released."""
         return claim_id in self._releases
 
-    def of_partition(self, number: int) -> Iterator[LogRecord]:
+    def of_partition(self, number: int) -> Iterator[ScopedRecord]:
         """Returns the records of a partition, outcomes first."""
         for scope, outcome in self._outcomes.values():
             if self._partition_log(scope).number == number:
-                yield outcome
+                yield scope, outcome
         for claim_id, scope in self._releases.items():
             if self._partition_log(scope).number == number:
-                yield ReleaseRecord(claim_id, self._holder)
+                yield scope, ReleaseRecord(claim_id, self._holder)
 
     def drop_settled(self) -> None:
         """Drops records that were read back or whose key aged out."""
