Let keys settle for a fifth of their age after a return of the store

What callers would see: 503 for keys in a whole region after a return that followed an outage of some 1.4 s and more, as the confirmation from before the outage grows too old while new ones do not count. Cause: the settling time was 0.4 of the allowed age, and a follower's confirmation may be 1.4 s old when the outage begins. Change: a fifth, so that 2.4 s can pass.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -79,7 +79,7 @@
 #: Memory of the process in bytes if the settings name none.
 DEFAULT_MEMORY_BYTES = 256 << 20
 #: Share of the age that is allowed to keys for which a return of the store does not confirm them.
-SETTLING_SHARE = 0.4
+SETTLING_SHARE = 0.2
 
 
 class GatewayDaemon(Process):
