Give replicas that a copy of the store lacks the time of a read to register again

What callers would see after a return of the store: for some ms no requests reach a replica that lives, and for longer after a second return, as it is given up although it has registered again. Cause: the 2 s in which replicas register again end before a reader, which calls each second, has read the entry; and a row that already waits kept its first time when the store came back once more. A deletion that is read works as before.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -650,8 +650,13 @@
 
     def _on_registry_snapshot(self, keys: frozenset[str]) -> None:
         self.registry_relay.retain(keys)
+        # A replica that the copy of the store lacks registers again, which readers notice at their next
+        # call.
+        expires_at = self.eras.risen_at + REREGISTRATION_WINDOW_S + REGISTRY_INTERVAL_S
         for row in list(self.upstreams):
-            if row.instance not in keys:
+            if row.instance in keys:
+                continue
+            if self.clock.now() >= expires_at or not self.upstreams.await_entry(row, expires_at):
                 self._on_entry_removed(row.instance)
 
     def _on_entry_removed(self, instance: str) -> None:
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -395,6 +395,17 @@
         self._remove(row)
         return row
 
+    def await_entry(self, row: UpstreamRow, expires_at: float) -> bool:
+        """Keeps a replica without an entry until a time at least, unless it registers again.
+
+        Returns:
+          Whether it is kept; one that is not ready is not.
+        """
+        if row.entry.state is not UpstreamState.READY:
+            return False
+        row.expires_at = max(expires_at, row.expires_at or expires_at)
+        return True
+
     def expire(self, now: float) -> list[UpstreamRow]:
         """Removes the replicas that did not register again in time and returns them."""
         expired = [
--- a/tests/gateway/test_upstream_table.py
+++ b/tests/gateway/test_upstream_table.py
@@ -297,3 +297,14 @@
     rows.expire(2.0)
     rows.register(entry(heartbeats=3))
     assert (rows.get("i-1") is not None) is is_taken
+
+
+def test_second_return_of_the_store_gives_a_replica_the_time_to_register_again():
+    """Guards against replicas that are given up although the store has only just lost them again."""
+    rows = table()
+    rows.register(entry())
+    rows.register(entry("i-2", UpstreamState.DRAINING))
+    assert [rows.await_entry(rows.get("i-1"), at) for at in (5.0, 8.0, 6.0)] == 3 * [True]
+    assert not rows.await_entry(rows.get("i-2"), 8.0)
+    assert rows.expire(7.9) == []
+    assert [row.instance for row in rows.expire(8.0)] == ["i-1"]
