Keep a replica that the copy of a later return lists

What callers would see: no requests reach a replica that lives for some ms after returns of the store in quick succession. Cause: the copy of one return lacked it, so its row waits for a new entry; the copy of the next return listed it with an older heartbeat count, which was dropped as outdated without ending that wait. Change: an outdated entry that says the same ends the wait. Result: the new test fails without it; tests/platform/test_gateway_records.py passes.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -607,6 +607,8 @@
         if self.upstreams.is_outdated(entry):
             self.telemetry.count("registration.outdated")
             if row is not None and entry == row.entry:
+                # The copy of the store lists it, so it need not register again in time.
+                row.expires_at = None
                 self._relay_registration(record, row)
             return
         previous = row.entry if row is not None else None
--- a/tests/platform/test_gateway_records.py
+++ b/tests/platform/test_gateway_records.py
@@ -307,3 +307,18 @@
     value = json.dumps({**body, "state": "ready", "born": 5, "sequence": 11}).encode()
     daemon._on_registration(KeyedRecord(9, "i-1", value, 1))
     assert read() == {1}
+
+
+def test_replica_that_a_second_copy_lists_need_not_register_again(gateway):
+    """Guards against a replica that is given up because the copy of an earlier return lacked it."""
+    daemon = gateway.daemon
+    daemon.registry_relay.start(daemon.registry_feed)
+    body = {"service": "lm", "address": "10.0.0.1:80", "zone": "z", "state": "ready", "born": 5}
+    records = [
+        KeyedRecord(n, "i-1", json.dumps({**body, "sequence": 9 - n}).encode(), n) for n in (0, 2)
+    ]
+    daemon._on_registration(records[0])
+    row = daemon.upstreams.get("i-1")
+    assert daemon.upstreams.await_entry(row, 0.0)
+    daemon._on_registration(records[1])
+    assert daemon.upstreams.expire(1.0) == []
