Give up a replica that a copy lacks only by a read after its time

What callers would see: no requests reach a replica that lives, if the store is silent soon after a return. Cause: the time in which the replica could register again ended by the clock, while nobody could read whether it had. Change: such a row expires when a read that started after its time does not list it. Deletions that are read end by the clock as before.

--- a/fescuechute/gateway/_daemon.py
+++ b/fescuechute/gateway/_daemon.py
@@ -263,7 +263,7 @@
         self.registry_feed.tick(now)
         self._ask_for_dates(now)
         self._keep_records(now)
-        for row in self.upstreams.expire(now):
+        for row in self.upstreams.expire(now, self.registry_feed.confirmed_at):
             self._on_upstream_gone(row.instance, "lapsed")
         self._relay_records(now)
         self.load_listener.tick(now)
--- a/fescuechute/gateway/_upstreams.py
+++ b/fescuechute/gateway/_upstreams.py
@@ -106,6 +106,8 @@
     failed_share: float = 0.0
     #: Unix seconds at which the replica is removed unless it registers again, or None.
     expires_at: float | None = None
+    #: Whether it expires only by a read after that time, as the store may be away until then.
+    expires_by_read: bool = False
     #: What this gateway has learned of the speed of the replica since its start or last load.
     capacity: LearnedCapacity = attrs.field(
         default=attrs.Factory(lambda row: LearnedCapacity(row.entry.slots), takes_self=True)
@@ -390,7 +392,7 @@
             return None
         if expires_at is not None and row.entry.state is UpstreamState.READY:
             if row.expires_at is None:
-                row.expires_at = expires_at
+                row.expires_at, row.expires_by_read = expires_at, False
             return None
         self._remove(row)
         return row
@@ -404,14 +406,22 @@
         if row.entry.state is not UpstreamState.READY:
             return False
         row.expires_at = max(expires_at, row.expires_at or expires_at)
+        row.expires_by_read = True
         return True
 
-    def expire(self, now: float) -> list[UpstreamRow]:
-        """Removes the replicas that did not register again in time and returns them."""
+    def expire(self, now: float, read_at: float | None = None) -> list[UpstreamRow]:
+        """Removes the replicas that did not register again in time and returns them.
+
+        Args:
+          now: Unix seconds.
+          read_at: Unix seconds up to which all entries are known, None if unknown.
+        """
+        read_at = float("-inf") if read_at is None else read_at
         expired = [
             row
             for row in self._rows.values()
-            if row.expires_at is not None and row.expires_at <= now
+            if row.expires_at is not None
+            and row.expires_at <= (min(now, read_at) if row.expires_by_read else now)
         ]
         for row in expired:
             # Its entry is missing, which is no statement that it is gone: any later one is taken.
