--- a/fescuechute/feeds/_feed.py
+++ b/fescuechute/feeds/_feed.py
@@ -189,7 +189,7 @@
         self._next_call_at = now + self._settings.min_interval_s
         self.calls += 1
         is_first_page = self._next_offset is None and not self._last_page_key
-        on_end = partial(self._on_outcome, self.calls, is_first_page)
+        on_end = partial(self._on_call_ended, self.calls, is_first_page)
         if self._next_offset is None:
             self._log.snapshot(self._settings.topic, self._last_page_key, on_end)
         else:
@@ -248,7 +248,8 @@
         self._next_call_at = now
         return True
 
-    def _on_outcome(self, call: int, is_first_page: bool, outcome: Outcome) -> None:
+    def _on_call_ended(self, call: int, is_first_page: bool, outcome: Outcome) -> None:
+        """Handles the outcome of a call unless it was given up or is of an older era."""
         if call <= self._abandoned_calls:
             return
         self._in_flight = False
@@ -261,6 +262,9 @@
                 outcome = Failure(reason, outcome.era)
             elif has_risen and not (isinstance(outcome, SnapshotPage) and is_first_page):
                 return
+        self._on_outcome(outcome)
+
+    def _on_outcome(self, outcome: Outcome) -> None:
         self._handle(outcome)
         if not isinstance(outcome, Failure) and self._consecutive_failures:
             self._consecutive_failures = 0
